Base: Add build, formatter, linter, design page and base library

The design page states requirements, modules, state owners, messages and failure handling. The base library has identifiers, findings, JSON reading, mailbox, timers, stable hashes, metrics and logs.

--- /dev/null
+++ b/src/base/hash.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// 64-bit hash that is equal on all VMs and in all versions.
+std::uint64_t stableHash(std::string_view bytes, std::uint64_t seed = 0);
+
+/// Score of @p node for @p key; the node with the highest score is responsible (rendezvous hashing).
+std::uint64_t rendezvousScore(std::string_view key, std::string_view node);
+
+/// The up to @p count nodes with the highest scores for @p key, best first.
+std::vector<std::string> rendezvousOrder(std::string_view key, const std::vector<std::string> &nodes, std::size_t count);
+
+/// SHA-256 of @p bytes as 64 lower-case hexadecimal digits.
+std::string sha256Hex(std::string_view bytes);
+
+}
