--- /dev/null
+++ b/src/dispatch/messages.h
@@ -0,0 +1,315 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+#include "dispatch/servingview.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// What is known about whether a request had an effect. Callers rely on WasNotRun being true.
+enum class RunState {
+    WasNotRun,
+    Ran,
+    Unknown,
+};
+
+enum class RequestKind {
+    Completion,
+    Service,
+};
+
+using SharedText = std::shared_ptr<const std::string>;
+
+/// A request as admitted by the filter chain.
+struct RequestSpec {
+    RequestId id;
+    RequestKind kind = RequestKind::Completion;
+    WorkspaceId workspace;
+    ModelId model; ///< Completions only.
+    std::int64_t priority = 0;
+    TimePoint deadline;
+    bool idempotent = true;
+    std::string idempotencyKey; ///< Mandatory when the request is not idempotent.
+    std::uint64_t promptTokens = 0; ///< Estimate until the engine has answered.
+    std::uint64_t maxTokens = 0;
+    SharedText prompt; ///< Prompt of a completion, body of a service call.
+    std::vector<std::uint64_t> prefixBlocks; ///< Salted hashes of the prompt's leading blocks, shortest prefix first.
+    std::string cacheSalt;
+    std::string method; ///< Services only.
+    std::string path; ///< Services only, with query.
+    std::string contentType; ///< Services only.
+};
+
+using RequestSpecPtr = std::shared_ptr<const RequestSpec>;
+
+/// A part of a long prompt whose KV cache another endpoint holds.
+struct KvImport {
+    EndpointId endpoint;
+    AllocationId allocation;
+
+    bool operator==(const KvImport &) const = default;
+};
+
+// Messages to the dispatcher.
+
+struct RequestArrived {
+    RequestSpecPtr spec;
+};
+
+struct CallerGone {
+    RequestId request;
+};
+
+enum class ClaimVerdict {
+    Won,
+    Lost, ///< Another attempt holds the key.
+    Refused, ///< The key is malformed, too old or in the future.
+};
+
+struct ClaimDecided {
+    RequestId request;
+    AttemptId attempt;
+    ClaimVerdict verdict = ClaimVerdict::Lost;
+    RunState winnerState = RunState::Unknown; ///< Of the attempt that holds the key, when Lost.
+    std::string message;
+};
+
+/// The endpoint has sent the head of its answer.
+struct AttemptAccepted {
+    AttemptId attempt;
+    int status = 200;
+    std::string contentType;
+};
+
+struct AttemptChunk {
+    AttemptId attempt;
+    std::uint64_t position = 0; ///< Index of the first token (completions) or byte (services) of the chunk within the attempt.
+    std::uint64_t length = 0; ///< Number of tokens or bytes.
+    std::string text;
+};
+
+/// The endpoint has sent the end marker of the answer.
+struct AttemptEnded {
+    AttemptId attempt;
+    std::uint64_t position = 0; ///< Length of the whole answer, in the unit of the chunks.
+    std::string finishReason;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+};
+
+enum class AttemptFailure {
+    NotConnected, ///< No byte was sent.
+    RefusedNotRun, ///< The endpoint states that it did not run the request.
+    Rejected, ///< The endpoint answered with a definite error, for example 400.
+    Broken, ///< The connection ended early or the answer was malformed.
+};
+
+struct AttemptFailed {
+    AttemptId attempt;
+    AttemptFailure failure = AttemptFailure::Broken;
+    int status = 0;
+    std::string message;
+};
+
+enum class EngineRequestState {
+    Queued,
+    Running,
+    Finished,
+    NotKnown, ///< The engine does not know the attempt.
+    NoAnswer,
+};
+
+struct AttemptProbed {
+    AttemptId attempt;
+    EngineRequestState state = EngineRequestState::NoAnswer;
+    std::uint64_t position = 0; ///< Tokens generated so far.
+};
+
+/// Answer to ProbeEndpoint; no report when the endpoint did not answer.
+struct EndpointProbed {
+    EndpointId endpoint;
+    std::optional<LoadReport> load;
+};
+
+struct AllocationAnswered {
+    AllocationId allocation;
+    bool granted = false;
+};
+
+struct PrefillAnswered {
+    AllocationId allocation;
+    bool succeeded = false;
+};
+
+struct ViewChanged {
+    ServingViewPtr view;
+};
+
+/// Refuse new requests; running ones finish.
+struct DrainStarted {
+};
+
+/// End all requests now with an error that states their run state.
+struct AbortAll {
+};
+
+using DispatchInput = std::variant<RequestArrived,
+                                   CallerGone,
+                                   ClaimDecided,
+                                   AttemptAccepted,
+                                   AttemptChunk,
+                                   AttemptEnded,
+                                   AttemptFailed,
+                                   AttemptProbed,
+                                   EndpointProbed,
+                                   AllocationAnswered,
+                                   PrefillAnswered,
+                                   ViewChanged,
+                                   DrainStarted,
+                                   AbortAll>;
+
+// Actions that the dispatcher asks its shell to carry out.
+
+struct AskClaim {
+    RequestId request;
+    AttemptId attempt;
+    WorkspaceId workspace;
+    std::string key;
+    TimePoint deadline;
+};
+
+/// The attempt was not dispatched and never will be.
+struct ReleaseClaim {
+    AttemptId attempt;
+    WorkspaceId workspace;
+    std::string key;
+};
+
+struct RecordOutcome {
+    AttemptId attempt;
+    WorkspaceId workspace;
+    std::string key;
+    RunState state = RunState::Unknown;
+};
+
+struct StartAttempt {
+    AttemptId attempt;
+    EndpointId endpoint;
+    std::string address;
+    RequestSpecPtr spec;
+    std::string continuation; ///< Text already sent to the caller; the endpoint continues after it.
+    std::optional<AllocationId> allocation; ///< Reserved memory for the last part of a long prompt.
+    std::vector<KvImport> imports; ///< Earlier parts of a long prompt.
+    std::uint64_t promptOffset = 0; ///< Byte of the prompt at which the last part begins.
+};
+
+/// Open a new connection and continue an attempt's stream at a position; the old connection is closed.
+struct ResumeAttempt {
+    AttemptId attempt;
+    EndpointId endpoint;
+    std::string address;
+    std::uint64_t position = 0;
+};
+
+struct CancelAttempt {
+    AttemptId attempt;
+    EndpointId endpoint;
+    std::string address;
+};
+
+/// Ask the endpoint on a new connection what it knows of the attempt.
+struct ProbeAttempt {
+    AttemptId attempt;
+    EndpointId endpoint;
+    std::string address;
+};
+
+struct ProbeEndpoint {
+    EndpointId endpoint;
+    std::string address;
+};
+
+struct ReserveAllocation {
+    AllocationId allocation;
+    RequestId request;
+    EndpointId endpoint;
+    std::string address;
+    std::uint64_t tokens = 0;
+    TimePoint deadline;
+};
+
+struct PrefillPart {
+    AllocationId allocation;
+    EndpointId endpoint;
+    std::string address;
+    RequestSpecPtr spec;
+    std::uint64_t part = 0;
+    std::uint64_t promptOffset = 0; ///< Bytes.
+    std::uint64_t promptLength = 0; ///< Bytes.
+    std::vector<KvImport> imports;
+};
+
+struct ReleaseAllocation {
+    AllocationId allocation;
+    EndpointId endpoint;
+    std::string address;
+};
+
+/// Part of the answer for the caller, in order and without gaps.
+struct SendToCaller {
+    RequestId request;
+    std::string text;
+    std::uint64_t length = 0; ///< Tokens (completions) or bytes (services).
+};
+
+/// The last action of a request.
+struct FinishRequest {
+    RequestId request;
+    bool succeeded = false;
+    int status = 200; ///< HTTP status, if no part of the answer has been sent yet.
+    std::string contentType; ///< Services only.
+    std::string code; ///< Error code for the caller, for example "deadline_exceeded".
+    std::string message;
+    RunState runState = RunState::Ran;
+    std::optional<milliseconds> retryAfter;
+    std::string finishReason;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t completionTokens = 0;
+};
+
+enum class EndpointEvent {
+    ConnectFailed,
+    Silent,
+    Draining,
+};
+
+struct ReportEndpoint {
+    EndpointId endpoint;
+    EndpointEvent event = EndpointEvent::ConnectFailed;
+};
+
+using DispatchAction = std::variant<AskClaim,
+                                    ReleaseClaim,
+                                    RecordOutcome,
+                                    StartAttempt,
+                                    ResumeAttempt,
+                                    CancelAttempt,
+                                    ProbeAttempt,
+                                    ProbeEndpoint,
+                                    ReserveAllocation,
+                                    PrefillPart,
+                                    ReleaseAllocation,
+                                    SendToCaller,
+                                    FinishRequest,
+                                    ReportEndpoint>;
+
+}
--- /dev/null
+++ b/src/routing/fleetstate.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+#include "dispatch/servingview.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// Work that this entry has given to one endpoint and that has not ended.
+struct InFlightWork {
+    std::uint64_t requests = 0;
+    std::uint64_t prefillTokens = 0; ///< Prompt tokens of attempts whose first token has not arrived.
+    std::uint64_t heldTokens = 0; ///< Prompt and expected answer tokens of all attempts.
+
+    auto operator<=>(const InFlightWork &) const = default;
+};
+
+/// The latest view combined with the work that this entry has in flight.
+class FleetState
+{
+public:
+    /// An endpoint of the view with its document entry. Pointers are valid until the next setView().
+    struct Candidate {
+        const Endpoint *endpoint = nullptr;
+        const EndpointState *state = nullptr; ///< Null when nothing has been observed yet.
+        InFlightWork inFlight;
+    };
+
+    void setView(ServingViewPtr view);
+    [[nodiscard]] const ServingViewPtr &view() const;
+
+    void attemptStarted(const AttemptId &attempt, const EndpointId &endpoint, std::uint64_t promptTokens, std::uint64_t maxTokens);
+    void firstTokenArrived(const AttemptId &attempt);
+    void attemptEnded(const AttemptId &attempt);
+
+    /// Endpoints that serve @p model and may get new work: neither leaving, draining nor dead.
+    [[nodiscard]] std::vector<Candidate> candidatesForModel(const ModelId &model) const;
+
+    /// Plain services whose path prefix is the longest that matches @p path.
+    [[nodiscard]] std::vector<Candidate> candidatesForPath(const std::string &path) const;
+
+    [[nodiscard]] const Endpoint *endpoint(const EndpointId &id) const;
+    [[nodiscard]] InFlightWork inFlight(const EndpointId &id) const;
+
+private:
+    struct AttemptWork {
+        EndpointId endpoint;
+        std::uint64_t promptTokens = 0;
+        std::uint64_t maxTokens = 0;
+        bool prefilling = true;
+    };
+
+    [[nodiscard]] Candidate candidate(const Endpoint &endpoint) const;
+    [[nodiscard]] static bool acceptsWork(const Candidate &candidate);
+
+    ServingViewPtr view_;
+    std::map<EndpointId, const Endpoint *> endpoints_;
+    std::map<ModelId, std::vector<const Endpoint *>> engines_;
+    std::map<std::string, std::vector<const Endpoint *>> services_;
+    std::map<EndpointId, InFlightWork> inFlight_;
+    std::map<AttemptId, AttemptWork> attempts_;
+};
+
+}
