--- /dev/null
+++ b/src/config/configfold.cpp
@@ -0,0 +1,205 @@
+#include "config/configfold.h"
+
+#include <algorithm>
+
+namespace Lentillock
+{
+
+std::vector<ConfigRules> knownConfigRules()
+{
+    return {{1, DocumentValidator::validate, DocumentValidator::validateChange}};
+}
+
+std::uint32_t newestRulesVersion()
+{
+    return knownConfigRules().back().version;
+}
+
+ConfigFold::ConfigFold(std::vector<ConfigRules> rules)
+    : rules_(std::move(rules))
+    , document_(std::make_shared<const ServingDocument>())
+{
+    state_.rulesVersion = rules_.front().version;
+    state_.throughOffset = FirstOffset - 1;
+    rememberDigest();
+}
+
+std::optional<ConfigFold> ConfigFold::restore(std::string_view snapshotData, Findings &findings, std::vector<ConfigRules> rules)
+{
+    ConfigFold fold(std::move(rules));
+    ConfigRecord record = decodeRecord(snapshotData, [&](std::uint64_t version) { return fold.rules(version) != nullptr; });
+    if (const auto *malformed = std::get_if<MalformedRecord>(&record)) {
+        findings.append(malformed->findings);
+        return std::nullopt;
+    }
+    auto *snapshot = std::get_if<SnapshotRecord>(&record);
+    if (snapshot == nullptr) {
+        findings.addError("record", "", "is not a snapshot with known rules");
+        return std::nullopt;
+    }
+    if (snapshot->snapshot.digest() != snapshot->digest) {
+        findings.addError("record", "/digest", "does not match the content of the snapshot");
+        return std::nullopt;
+    }
+    fold.state_ = std::move(snapshot->snapshot);
+    SectionTexts texts;
+    for (const auto &[name, state] : fold.state_.sections) {
+        texts.emplace(name, state.text);
+        fold.version_ = std::max(fold.version_, state.version);
+    }
+    if (fold.version_ > fold.state_.throughOffset) {
+        findings.addError("record", "/throughOffset", "must not be below the version of a section");
+        return std::nullopt;
+    }
+    fold.document_ = fold.rules(fold.state_.rulesVersion)->validate(texts, findings);
+    if (fold.document_ == nullptr) {
+        return std::nullopt;
+    }
+    fold.digests_.clear();
+    fold.rememberDigest();
+    return fold;
+}
+
+ConfigDecision ConfigFold::apply(const LogRecord &record)
+{
+    ConfigDecision decision;
+    decision.offset = record.offset;
+    decision.time = record.time;
+    if (unknownRules_ || record.offset < nextOffset()) {
+        return decision;
+    }
+    ConfigRecord decoded = decodeRecord(record.data, [this](std::uint64_t version) { return rules(version) != nullptr; });
+    if (const auto *unknown = std::get_if<UnknownRules>(&decoded)) {
+        unknownRules_ = unknown->rulesVersion;
+        return decision;
+    }
+    if (const auto *snapshot = std::get_if<SnapshotRecord>(&decoded)) {
+        judgeSnapshot(*snapshot, decision);
+    }
+    // Ids are forgotten by the time of each record, whatever its kind, so that all readers forget alike.
+    forgetOldIds(record.time);
+    state_.throughOffset = record.offset;
+    if (auto *publish = std::get_if<PublishRecord>(&decoded)) {
+        judgePublish(record, std::move(*publish), decision);
+    } else if (auto *malformed = std::get_if<MalformedRecord>(&decoded)) {
+        decision.verdict = ConfigVerdict::Malformed;
+        decision.findings = std::move(malformed->findings);
+    }
+    rememberDigest();
+    return decision;
+}
+
+void ConfigFold::judgePublish(const LogRecord &record, PublishRecord publish, ConfigDecision &decision)
+{
+    const SectionState current = section(publish.section);
+    decision.currentVersion = current.version;
+    decision.record = std::move(publish);
+    const PublishRecord &proposal = decision.record;
+    if (!state_.decidedIds.emplace(proposal.id, record.time).second) {
+        decision.verdict = ConfigVerdict::Repeated;
+        return;
+    }
+    if (proposal.base != current.version) {
+        decision.verdict = ConfigVerdict::Conflict;
+        decision.currentText = current.text;
+        return;
+    }
+    if (proposal.rulesVersion < state_.rulesVersion) {
+        decision.verdict = ConfigVerdict::OldRules;
+        return;
+    }
+    ServingDocumentPtr document = validate(proposal, decision.findings);
+    if (document == nullptr) {
+        decision.verdict = ConfigVerdict::Invalid;
+        return;
+    }
+    decision.verdict = ConfigVerdict::Accepted;
+    document_ = std::move(document);
+    version_ = record.offset;
+    state_.rulesVersion = proposal.rulesVersion;
+    state_.sections.insert_or_assign(proposal.section, SectionState{record.offset, proposal.text});
+}
+
+ServingDocumentPtr ConfigFold::validate(const PublishRecord &record, Findings &findings) const
+{
+    const ConfigRules &applicable = *rules(record.rulesVersion);
+    if (record.rulesVersion == state_.rulesVersion) {
+        return applicable.validateChange(*document_, record.section, record.text, findings);
+    }
+    // The other sections were accepted by older rules, so they are checked again.
+    SectionTexts texts;
+    for (const auto &[name, state] : state_.sections) {
+        texts.emplace(name, state.text);
+    }
+    texts.insert_or_assign(record.section, record.text);
+    return applicable.validate(texts, findings);
+}
+
+void ConfigFold::judgeSnapshot(const SnapshotRecord &record, ConfigDecision &decision) const
+{
+    decision.verdict = ConfigVerdict::Snapshot;
+    const std::uint64_t offset = record.snapshot.throughOffset;
+    const std::string digest = record.snapshot.digest();
+    const auto own = std::find_if(digests_.begin(), digests_.end(), [&](const auto &entry) { return entry.first == offset; });
+    if (digest != record.digest || offset >= decision.offset || (own != digests_.end() && own->second != digest)) {
+        decision.verdict = ConfigVerdict::SnapshotMismatch;
+        decision.findings.addError("record", "/digest", "the snapshot of offset " + std::to_string(offset) + " differs from the fold of the log");
+    }
+}
+
+void ConfigFold::forgetOldIds(WallTime now)
+{
+    std::erase_if(state_.decidedIds, [now](const auto &entry) { return entry.second + IdWindow < now; });
+}
+
+void ConfigFold::rememberDigest()
+{
+    digests_.emplace_back(state_.throughOffset, state_.digest());
+    if (digests_.size() > MaxDigests) {
+        digests_.pop_front();
+    }
+}
+
+const ConfigRules *ConfigFold::rules(std::uint64_t version) const
+{
+    const auto found = std::find_if(rules_.begin(), rules_.end(), [version](const ConfigRules &candidate) { return candidate.version == version; });
+    return found == rules_.end() ? nullptr : &*found;
+}
+
+std::uint64_t ConfigFold::nextOffset() const
+{
+    return state_.throughOffset + 1;
+}
+
+std::uint64_t ConfigFold::version() const
+{
+    return version_;
+}
+
+const ServingDocumentPtr &ConfigFold::document() const
+{
+    return document_;
+}
+
+SectionState ConfigFold::section(std::string_view name) const
+{
+    const auto found = state_.sections.find(name);
+    return found == state_.sections.end() ? SectionState() : found->second;
+}
+
+const ConfigSnapshot &ConfigFold::state() const
+{
+    return state_;
+}
+
+std::string ConfigFold::snapshotData() const
+{
+    return encodeRecord(state_);
+}
+
+std::optional<std::uint64_t> ConfigFold::unknownRules() const
+{
+    return unknownRules_;
+}
+
+}
