--- a/src/platform/logservice.h
+++ b/src/platform/logservice.h
@@ -19,6 +19,11 @@
     Expired, ///< The offset is older than the oldest record that is kept.
 };
 
+/// Accompanies LogError::Expired when the service has told which offset is the oldest that is kept.
+struct EarliestOffset {
+    std::uint64_t value = 0;
+};
+
 struct LogRecord {
     std::uint64_t offset = 0;
     WallTime time; ///< Assigned by the log service; never decreases within a stream.
