--- /dev/null
+++ b/tests/platform/platformadapterstest.cpp
@@ -0,0 +1,197 @@
+#include "platform/httplogservice.h"
+#include "platform/httpvmlist.h"
+#include "platform/httpweightstore.h"
+#include "standins/platform/platformserver.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace Lentillock
+{
+namespace
+{
+
+constexpr milliseconds Timeout = 2s;
+constexpr milliseconds ShortTimeout = 150ms;
+
+template<typename Error, typename Function>
+std::optional<Error> errorOf(Function function)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Error>> {
+            BOOST_LEAF_CHECK(function());
+            return std::optional<Error>();
+        },
+        [](Error error) { return std::optional<Error>(error); },
+        [] { return std::optional<Error>(); });
+}
+
+class PlatformAdaptersTest : public testing::Test
+{
+protected:
+    PlatformAdaptersTest()
+        : server_({.port = 0, .retentionRecords = 3, .retention = 1h, .fetchesPerMinute = 1})
+        , url_("http://" + server_.start())
+        , log_(url_)
+        , control_(url_)
+    {
+    }
+
+    ~PlatformAdaptersTest() override
+    {
+        server_.stop();
+    }
+
+    void injectFault(const std::string &fault)
+    {
+        const leaf::result<HttpResponse> response = control_.post("/fault", fault, Timeout);
+        ASSERT_TRUE(response);
+        ASSERT_EQ(response->status, 200) << response->body;
+    }
+
+    std::optional<LogError> appendError(milliseconds timeout = Timeout)
+    {
+        return errorOf<LogError>([&] { return log_.append("s", {"x"}, timeout); });
+    }
+
+    std::vector<std::string> readAll(std::uint64_t from)
+    {
+        std::vector<std::string> data;
+        const leaf::result<LogBatch> batch = log_.read("s", from, 100, 0ms, Timeout);
+        EXPECT_TRUE(batch);
+        for (const LogRecord &record : batch->records) {
+            data.push_back(record.data);
+        }
+        return data;
+    }
+
+    PlatformServer server_;
+    std::string url_;
+    HttpLogService log_;
+    HttpClient control_;
+};
+
+TEST_F(PlatformAdaptersTest, AppendedRecords_AreRead_InOrderWithOffsets)
+{
+    EXPECT_EQ(log_.append("s", {"a", "b \"\n\xc3\xa9"}, Timeout).value(), 1U);
+    const LogBatch batch = log_.read("s", 0, 1, 0ms, Timeout).value();
+    ASSERT_EQ(batch.records.size(), 1U);
+    EXPECT_EQ(batch.records[0].offset, 1U);
+    EXPECT_EQ(batch.next, 2U);
+    EXPECT_EQ(batch.earliest, 1U);
+    EXPECT_EQ(readAll(2), std::vector<std::string>{"b \"\n\xc3\xa9"});
+    EXPECT_EQ(log_.read("other/stream", 1, 10, 0ms, Timeout)->records.size(), 0U);
+}
+
+// Guards against a reader that takes a log with dropped records for the whole log.
+TEST_F(PlatformAdaptersTest, ExpiredOffset_IsRead_GivesErrorWithEarliest)
+{
+    ASSERT_TRUE(log_.append("s", {"a", "b", "c", "d", "e"}, Timeout));
+    std::uint64_t earliest = 0;
+    const LogError error = leaf::try_handle_all(
+        [&]() -> leaf::result<LogError> {
+            BOOST_LEAF_CHECK(log_.read("s", 1, 10, 0ms, Timeout));
+            return LogError::Unavailable;
+        },
+        [&](LogError cause, EarliestOffset offset) {
+            earliest = offset.value;
+            return cause;
+        },
+        [] { return LogError::Unavailable; });
+    EXPECT_EQ(error, LogError::Expired);
+    EXPECT_EQ(earliest, 3U);
+}
+
+TEST_F(PlatformAdaptersTest, WaitingRead_IsAnsweredByAppend)
+{
+    std::thread writer([this] {
+        HttpLogService other(url_);
+        std::this_thread::sleep_for(50ms);
+        EXPECT_TRUE(other.append("s", {"late"}, Timeout));
+    });
+    const TimePoint start = std::chrono::steady_clock::now();
+    const leaf::result<LogBatch> batch = log_.read("s", 1, 10, 5s, 6s);
+    writer.join();
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->records.size(), 1U);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 2s);
+}
+
+// Guards against reporting a lost answer as "had no effect": the writer would append again and its operation would run twice.
+TEST_F(PlatformAdaptersTest, LostAnswer_IsReportedAsUnknown_AndRecordIsThereOnce)
+{
+    injectFault(R"({"kind":"loseAnswers","service":"log"})");
+    EXPECT_EQ(appendError(ShortTimeout), LogError::OutcomeUnknown);
+    EXPECT_EQ(readAll(1), std::vector<std::string>{"x"});
+}
+
+TEST_F(PlatformAdaptersTest, Outage_IsReportedAsUnavailable_AndEnds)
+{
+    injectFault(R"({"kind":"outage","service":"log"})");
+    EXPECT_EQ(appendError(), LogError::Unavailable);
+    EXPECT_EQ(errorOf<LogError>([&] { return log_.read("s", 1, 10, 0ms, Timeout); }), LogError::Unavailable);
+    injectFault(R"({"kind":"none"})");
+    EXPECT_EQ(appendError(), std::nullopt);
+    EXPECT_EQ(readAll(1), std::vector<std::string>{"x"});
+}
+
+// Guards against a call that waits for a frozen service without end, and against use of the silent connection afterwards.
+TEST_F(PlatformAdaptersTest, FrozenService_TimesOut_AndNextCallSucceeds)
+{
+    EXPECT_EQ(readAll(1).size(), 0U);
+    injectFault(R"({"kind":"freeze","service":"log","durationMs":400})");
+    const TimePoint start = std::chrono::steady_clock::now();
+    EXPECT_EQ(errorOf<LogError>([&] { return log_.read("s", 1, 10, 0ms, ShortTimeout); }), LogError::Unavailable);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 350ms);
+    injectFault(R"({"kind":"none"})");
+    EXPECT_EQ(readAll(1).size(), 0U);
+}
+
+TEST_F(PlatformAdaptersTest, SlowService_AnswersLate)
+{
+    injectFault(R"({"kind":"slow","service":"log","delayMs":100})");
+    const TimePoint start = std::chrono::steady_clock::now();
+    EXPECT_EQ(appendError(), std::nullopt);
+    EXPECT_GE(std::chrono::steady_clock::now() - start, 100ms);
+}
+
+TEST_F(PlatformAdaptersTest, RefusedConnection_IsReportedAsUnavailable)
+{
+    server_.stop();
+    HttpLogService nowhere("http://127.0.0.1:1");
+    EXPECT_EQ(errorOf<LogError>([&] { return nowhere.append("s", {"x"}, Timeout); }), LogError::Unavailable);
+}
+
+TEST_F(PlatformAdaptersTest, VmList_IsFetched_WithRoleAndState)
+{
+    HttpVmList list(url_, Timeout);
+    EXPECT_EQ(list.fetch().value(), std::vector<VmListEntry>());
+    ASSERT_TRUE(server_.setVms(R"({"vms":[{"id":"v1","address":"10.0.0.1","zone":"a","role":"entry","state":"live"},)"
+                               R"({"id":"e1","address":"10.0.0.2:80","zone":"b","role":"endpoint","state":"leaving"}]})"));
+    const std::vector<VmListEntry> expected{{"v1", "10.0.0.1", ZoneId("a"), VmRole::Entry, VmState::Live},
+                                            {"e1", "10.0.0.2:80", ZoneId("b"), VmRole::Endpoint, VmState::Leaving}};
+    EXPECT_EQ(list.fetch().value(), expected);
+}
+
+// Guards against a partial list: VMs that are missing from it would be taken for gone.
+TEST_F(PlatformAdaptersTest, VmListWithMalformedEntry_IsRefusedAsAWhole)
+{
+    HttpVmList list(url_, Timeout);
+    ASSERT_TRUE(server_.setVms(R"({"vms":[{"id":"v1","address":"10.0.0.1","zone":"a","role":"entry","state":"live"},{"id":"v2"}]})"));
+    EXPECT_EQ(errorOf<VmListError>([&] { return list.fetch(); }), VmListError::Unavailable);
+}
+
+TEST_F(PlatformAdaptersTest, WeightStoreAtItsLimit_SaysWhenToRetry)
+{
+    HttpWeightStore store(url_);
+    EXPECT_TRUE(store.fetch(ModelId("m"), "1", Timeout)->started);
+    const WeightFetch second = store.fetch(ModelId("m"), "1", Timeout).value();
+    EXPECT_FALSE(second.started);
+    EXPECT_GT(second.retryAfter, 50s);
+    EXPECT_LE(second.retryAfter, 60s);
+}
+
+}
+}
