--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -268,6 +268,8 @@
     RequestId request;
     std::string text;
     std::uint64_t length = 0; ///< Tokens (completions) or bytes (services).
+    int status = 200; ///< HTTP status of the endpoint's answer; counts with the first part of an answer.
+    std::string contentType; ///< Services only.
 };
 
 /// The last action of a request.
