Dispatch: Add the state machine of a request

messages.h: adds the input ViewConfirmed (heartbeat of a control process; without it or a newer view for 2 s the dispatcher probes endpoints before new work) and AttemptFailed::draining (the endpoint itself says that it is leaving). Request identifiers must be unique among active requests.

--- /dev/null
+++ b/src/dispatch/claimcontroller.cpp
@@ -0,0 +1,65 @@
+#include "dispatch/claimcontroller.h"
+
+#include <utility>
+
+namespace Lentillock
+{
+
+ClaimController::ClaimController(RequestSpecPtr spec)
+    : spec_(std::move(spec))
+{
+}
+
+bool ClaimController::isSatisfied() const
+{
+    return spec_->idempotent || state_ == State::Won;
+}
+
+AskClaim ClaimController::ask(const AttemptId &attempt)
+{
+    state_ = State::Asked;
+    attempt_ = attempt;
+    return {spec_->id, attempt_, spec_->workspace, spec_->idempotencyKey, spec_->deadline};
+}
+
+bool ClaimController::decide(const ClaimDecided &verdict)
+{
+    if (state_ != State::Asked || verdict.attempt != attempt_) {
+        return false;
+    }
+    switch (verdict.verdict) {
+    case ClaimVerdict::Won:
+        state_ = State::Won;
+        break;
+    case ClaimVerdict::Lost:
+        state_ = State::Lost;
+        break;
+    case ClaimVerdict::Refused:
+        state_ = State::Refused;
+        break;
+    }
+    return true;
+}
+
+std::optional<DispatchAction> ClaimController::settle(RunState state)
+{
+    const State previous = std::exchange(state_, State::Settled);
+    switch (previous) {
+    case State::Asked:
+    // A losing claim would hold the key after the winner releases it.
+    case State::Lost:
+        return ReleaseClaim{attempt_, spec_->workspace, spec_->idempotencyKey};
+    case State::Won:
+        if (state == RunState::WasNotRun) {
+            return ReleaseClaim{attempt_, spec_->workspace, spec_->idempotencyKey};
+        }
+        return RecordOutcome{attempt_, spec_->workspace, spec_->idempotencyKey, state};
+    case State::NotAsked:
+    case State::Refused:
+    case State::Settled:
+        break;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/dispatchcontext.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "dispatch/abandonedreservations.h"
+#include "dispatch/dispatchcounters.h"
+#include "dispatch/dispatchersettings.h"
+#include "dispatch/endpointchooser.h"
+#include "dispatch/identifiersource.h"
+#include "dispatch/messages.h"
+#include "dispatch/retrybudget.h"
+#include "routing/admissionqueue.h"
+
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// What the requests of one dispatcher share.
+struct DispatchContext {
+    DispatchContext(DispatcherSettings dispatcherSettings, std::unique_ptr<RoutingPolicy> policy)
+        : settings(std::move(dispatcherSettings))
+        , chooser(settings, std::move(policy))
+        , identifiers(settings.vm, settings.incarnation)
+        , retries(settings)
+        , queue(settings.maxQueueLength)
+    {
+    }
+
+    DispatcherSettings settings;
+    EndpointChooser chooser;
+    IdentifierSource identifiers;
+    RetryBudget retries;
+    AdmissionQueue queue;
+    AbandonedReservations abandonedReservations;
+    DispatchCounters counters;
+    std::vector<DispatchAction> actions; ///< Collected for the caller of the dispatcher.
+    bool queueDue = false; ///< Something has changed that may let a waiting request be placed.
+
+    std::unordered_map<AttemptId, RequestId> attempts; ///< Live attempts and claims that are asked for.
+    std::unordered_map<AllocationId, RequestId> allocations;
+    std::set<RequestId> prefilling; ///< Requests that want the answers to endpoint probes.
+};
+
+}
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,63 +1,306 @@
 #include "dispatch/dispatcher.h"
 
-#include "dispatch/dispatcherstate.h"
+#include <boost/json/array.hpp>
 
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 
 namespace Lentillock
 {
 
-Dispatcher::Dispatcher(DispatcherSettings settings, std::unique_ptr<RoutingPolicy> policy)
-    : state_(std::make_unique<DispatcherState>(std::move(settings), std::move(policy)))
+namespace
+{
+
+// A request that fails while the queue is tried can make room for another; more passes than this wait for the next message.
+constexpr int MaxQueuePasses = 3;
+
+/// Requests that found no endpoint in one pass over the queue. Longer ones for the same endpoints are not tried in that pass.
+class BlockedRequests
+{
+public:
+    [[nodiscard]] bool covers(const RequestSpec &spec) const
+    {
+        const auto found = shortest_.find(key(spec));
+        return found != shortest_.end() && spec.promptTokens >= found->second;
+    }
+
+    void add(const RequestSpec &spec)
+    {
+        const auto [found, inserted] = shortest_.try_emplace(key(spec), spec.promptTokens);
+        found->second = std::min(found->second, spec.promptTokens);
+    }
+
+private:
+    static std::pair<RequestKind, std::string> key(const RequestSpec &spec)
+    {
+        return {spec.kind, spec.kind == RequestKind::Completion ? spec.model.value() : spec.path};
+    }
+
+    std::map<std::pair<RequestKind, std::string>, std::uint64_t> shortest_;
+};
+
+boost::json::object toJson(const DispatchCounters &counters)
 {
+    return {{"requests", counters.requests},
+            {"succeeded", counters.succeeded},
+            {"failedNotRun", counters.failedNotRun},
+            {"failedUnknown", counters.failedUnknown},
+            {"attempts", counters.attempts},
+            {"retries", counters.retries},
+            {"retriesRefused", counters.retriesRefused},
+            {"continuations", counters.continuations},
+            {"probes", counters.probes},
+            {"resumes", counters.resumes},
+            {"groups", counters.groups},
+            {"groupsRefused", counters.groupsRefused},
+            {"foreignMessages", counters.foreignMessages},
+            {"repeatedChunks", counters.repeatedChunks},
+            {"overlappingChunks", counters.overlappingChunks},
+            {"chunksAhead", counters.chunksAhead},
+            {"malformedChunks", counters.malformedChunks},
+            {"repeatedArrivals", counters.repeatedArrivals},
+            {"lateGrants", counters.lateGrants}};
 }
 
-Dispatcher::~Dispatcher() = default;
+}
+
+Dispatcher::Dispatcher(DispatcherSettings settings, std::unique_ptr<RoutingPolicy> policy)
+    : context_(std::move(settings), std::move(policy))
+    , finished_(context_.settings.maxExplanations)
+{
+}
 
 std::vector<DispatchAction> Dispatcher::handle(TimePoint now, const DispatchInput &input)
 {
-    state_->expire(now);
-    std::visit([&](const auto &message) { state_->handle(now, message); }, input);
-    return std::exchange(state_->actions_, {});
+    advanceDue(now);
+    std::visit([this, now](const auto &message) { take(now, message); }, input);
+    return takeActions(now);
 }
 
 std::vector<DispatchAction> Dispatcher::advance(TimePoint now)
 {
-    state_->expire(now);
-    return std::exchange(state_->actions_, {});
+    advanceDue(now);
+    return takeActions(now);
 }
 
 std::optional<TimePoint> Dispatcher::nextDue() const
 {
-    std::optional<TimePoint> due;
-    for (const auto &[id, request] : state_->requests_) {
-        due = due ? std::min(*due, request.spec->deadline) : request.spec->deadline;
+    std::optional<TimePoint> due = due_.next();
+    if (context_.queue.size() > 0) {
+        const TimePoint queueDue = context_.queueDue ? queueTriedAt_ : queueTriedAt_ + context_.settings.queueRetryInterval;
+        due = due ? std::min(*due, queueDue) : queueDue;
     }
     return due;
 }
 
-boost::json::object Dispatcher::dumpState(TimePoint /*now*/) const
+boost::json::object Dispatcher::dumpState(TimePoint now) const
 {
-    return {{"active", state_->requests_.size()}};
+    boost::json::array requests;
+    for (const auto &[id, request] : requests_) {
+        requests.push_back(request->toJson());
+    }
+    return {{"draining", draining_},
+            {"viewExpired", context_.chooser.isViewExpired(now)},
+            {"queued", context_.queue.size()},
+            {"abandonedReservations", context_.abandonedReservations.size()},
+            {"fleetRetryCredit", context_.retries.fleetCredit()},
+            {"counters", toJson(context_.counters)},
+            {"requests", std::move(requests)}};
 }
 
-std::optional<boost::json::object> Dispatcher::explain(const RequestId &request, TimePoint /*now*/) const
+std::optional<boost::json::object> Dispatcher::explain(const RequestId &request, TimePoint now) const
 {
-    if (!isActive(request)) {
+    if (const auto active = requests_.find(request); active != requests_.end()) {
+        boost::json::object result = active->second->toJson();
+        result["remainingMs"] = std::chrono::duration_cast<milliseconds>(active->second->spec().deadline - now).count();
+        return result;
+    }
+    const RequestTrace *trace = finished_.find(request);
+    if (trace == nullptr) {
         return std::nullopt;
     }
-    return boost::json::object{{"request", request.value()}, {"state", "streaming"}};
+    boost::json::object result = trace->toJson();
+    result["state"] = "done";
+    return result;
 }
 
 bool Dispatcher::isActive(const RequestId &request) const
 {
-    return state_->requests_.contains(request);
+    return requests_.contains(request);
 }
 
 bool Dispatcher::isIdle() const
 {
-    return state_->requests_.empty();
+    return requests_.empty();
+}
+
+void Dispatcher::take(TimePoint now, const RequestArrived &message)
+{
+    const auto [request, inserted] = requests_.try_emplace(message.spec->id);
+    if (!inserted) {
+        context_.counters.repeatedArrivals += 1;
+        return;
+    }
+    context_.counters.requests += 1;
+    request->second = std::make_unique<RequestController>(context_, message.spec, now);
+    const bool queueWasDue = context_.queueDue;
+    if (draining_) {
+        request->second->refuse(now, Failures::draining());
+    } else if (context_.chooser.isViewExpired(now)) {
+        request->second->refuse(now, Failures::viewExpired());
+    } else {
+        request->second->admit(now);
+        context_.queueDue = queueWasDue || context_.queue.size() <= context_.settings.maxQueueForArrival;
+    }
+    updateRequest(request);
+}
+
+void Dispatcher::take(TimePoint now, const AllocationAnswered &message)
+{
+    if (const RequestId *request = requestOf(message.allocation)) {
+        deliver(now, RequestId(*request), message);
+    } else if (const std::optional<ReleaseAllocation> release = context_.abandonedReservations.answered(message)) {
+        context_.counters.lateGrants += 1;
+        context_.actions.emplace_back(*release);
+    } else {
+        context_.counters.foreignMessages += 1;
+    }
+}
+
+void Dispatcher::take(TimePoint now, const EndpointProbed &message)
+{
+    context_.chooser.endpointProbed(now, message);
+    context_.queueDue = true;
+    const std::set<RequestId> prefilling = context_.prefilling;
+    for (const RequestId &request : prefilling) {
+        deliver(now, request, message);
+    }
+}
+
+void Dispatcher::take(TimePoint /*now*/, const ViewChanged &message)
+{
+    if (message.view != nullptr) {
+        context_.chooser.viewChanged(message.view);
+        context_.queueDue = true;
+    }
+}
+
+void Dispatcher::take(TimePoint now, const ViewConfirmed & /*message*/)
+{
+    context_.chooser.viewConfirmed(now);
+}
+
+void Dispatcher::take(TimePoint /*now*/, const DrainStarted & /*message*/)
+{
+    draining_ = true;
+}
+
+void Dispatcher::take(TimePoint now, const AbortAll & /*message*/)
+{
+    draining_ = true;
+    for (auto request = requests_.begin(); request != requests_.end();) {
+        const auto current = request++;
+        current->second->abort(now);
+        updateRequest(current);
+    }
+}
+
+template<typename Message>
+void Dispatcher::take(TimePoint now, const Message &message)
+{
+    if constexpr (std::is_same_v<Message, CallerGone> || std::is_same_v<Message, ClaimDecided>) {
+        deliver(now, message.request, message);
+    } else if constexpr (std::is_same_v<Message, PrefillAnswered>) {
+        const RequestId *request = requestOf(message.allocation);
+        deliver(now, request == nullptr ? RequestId() : *request, message);
+    } else {
+        const RequestId *request = requestOf(message.attempt);
+        deliver(now, request == nullptr ? RequestId() : *request, message);
+    }
+}
+
+template<typename Message>
+void Dispatcher::deliver(TimePoint now, const RequestId &request, const Message &message)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end()) {
+        context_.counters.foreignMessages += 1;
+        return;
+    }
+    found->second->handle(now, message);
+    updateRequest(found);
+}
+
+const RequestId *Dispatcher::requestOf(const AttemptId &attempt) const
+{
+    const auto found = context_.attempts.find(attempt);
+    return found == context_.attempts.end() ? nullptr : &found->second;
+}
+
+const RequestId *Dispatcher::requestOf(const AllocationId &allocation) const
+{
+    const auto found = context_.allocations.find(allocation);
+    return found == context_.allocations.end() ? nullptr : &found->second;
+}
+
+void Dispatcher::advanceDue(TimePoint now)
+{
+    context_.abandonedReservations.forgetExpired(now);
+    for (const RequestId &id : due_.takeDue(now)) {
+        const auto request = requests_.find(id);
+        request->second->advance(now);
+        updateRequest(request);
+    }
+}
+
+void Dispatcher::placeWaiting(TimePoint now)
+{
+    for (int pass = 0; pass < MaxQueuePasses && context_.queueDue && context_.queue.size() > 0; ++pass) {
+        context_.queueDue = false;
+        queueTriedAt_ = now;
+        tryQueue(now);
+    }
+}
+
+void Dispatcher::tryQueue(TimePoint now)
+{
+    BlockedRequests blocked;
+    for (const RequestId &id : context_.queue.order(now)) {
+        const auto request = requests_.find(id);
+        if (request == requests_.end() || !request->second->isReadyToPlace(now)) {
+            continue;
+        }
+        RequestController &controller = *request->second;
+        // A request that is not to go to some endpoints says nothing about those that may go there.
+        const bool isTypical = !controller.hasFailedEndpoints();
+        if (isTypical && blocked.covers(controller.spec())) {
+            continue;
+        }
+        controller.place(now);
+        if (isTypical && controller.isReadyToPlace(now)) {
+            blocked.add(controller.spec());
+        }
+        updateRequest(request);
+    }
+}
+
+void Dispatcher::updateRequest(Requests::iterator request)
+{
+    if (!request->second->isDone()) {
+        due_.set(request->first, request->second->nextDue());
+        return;
+    }
+    due_.remove(request->first);
+    finished_.add(request->second->takeTrace());
+    requests_.erase(request);
+}
+
+std::vector<DispatchAction> Dispatcher::takeActions(TimePoint now)
+{
+    context_.queueDue = context_.queueDue || now >= queueTriedAt_ + context_.settings.queueRetryInterval;
+    placeWaiting(now);
+    return std::exchange(context_.actions, {});
 }
 
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -2,12 +2,17 @@
 
 #include "base/identifier.h"
 #include "base/time.h"
+#include "dispatch/dispatchcontext.h"
 #include "dispatch/dispatchersettings.h"
+#include "dispatch/duetimes.h"
+#include "dispatch/finishedrequests.h"
 #include "dispatch/messages.h"
+#include "dispatch/requestcontroller.h"
 #include "routing/routingpolicy.h"
 
 #include <boost/json/object.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -15,14 +20,12 @@
 namespace Lentillock
 {
 
-class DispatcherState;
-
 /// Decides what an entry process does with its requests. Performs no I/O; the shell passes in messages and carries out the actions in order.
 class Dispatcher
 {
 public:
     Dispatcher(DispatcherSettings settings, std::unique_ptr<RoutingPolicy> policy);
-    ~Dispatcher();
+    ~Dispatcher() = default;
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
 
@@ -32,6 +35,7 @@
     /// Does everything that is due. To be called at nextDue() at the latest.
     std::vector<DispatchAction> advance(TimePoint now);
 
+    /// May be earlier than the next action, but never later.
     [[nodiscard]] std::optional<TimePoint> nextDue() const;
 
     /// Counters, queue and active requests for operators.
@@ -40,13 +44,41 @@
     /// The course of an active request or of one of the last finished ones.
     [[nodiscard]] std::optional<boost::json::object> explain(const RequestId &request, TimePoint now) const;
 
-    /// Whether the request still needs its allocations and claims.
+    /// Whether the request still needs its allocations.
     [[nodiscard]] bool isActive(const RequestId &request) const;
 
     [[nodiscard]] bool isIdle() const;
 
 private:
-    std::unique_ptr<DispatcherState> state_;
+    using Requests = std::map<RequestId, std::unique_ptr<RequestController>>;
+
+    void take(TimePoint now, const RequestArrived &message);
+    void take(TimePoint now, const AllocationAnswered &message);
+    void take(TimePoint now, const EndpointProbed &message);
+    void take(TimePoint now, const ViewChanged &message);
+    void take(TimePoint now, const ViewConfirmed &message);
+    void take(TimePoint now, const DrainStarted &message);
+    void take(TimePoint now, const AbortAll &message);
+    template<typename Message>
+    void take(TimePoint now, const Message &message);
+
+    template<typename Message>
+    void deliver(TimePoint now, const RequestId &request, const Message &message);
+    [[nodiscard]] const RequestId *requestOf(const AttemptId &attempt) const;
+    [[nodiscard]] const RequestId *requestOf(const AllocationId &allocation) const;
+
+    void advanceDue(TimePoint now);
+    void placeWaiting(TimePoint now);
+    void tryQueue(TimePoint now);
+    void updateRequest(Requests::iterator request);
+    std::vector<DispatchAction> takeActions(TimePoint now);
+
+    DispatchContext context_;
+    Requests requests_;
+    DueTimes due_;
+    FinishedRequests finished_;
+    TimePoint queueTriedAt_;
+    bool draining_ = false;
 };
 
 }
--- /dev/null
+++ b/src/dispatch/duetimes.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// When each request has to be looked at next.
+class DueTimes
+{
+public:
+    /// A time later than the known one is not stored: the request is looked at too early once, which is cheaper than moving its
+    /// entry with each chunk of its answer.
+    void set(const RequestId &request, TimePoint due);
+    void remove(const RequestId &request);
+
+    /// Removes and returns the requests that are due, earliest first.
+    std::vector<RequestId> takeDue(TimePoint now);
+
+    [[nodiscard]] std::optional<TimePoint> next() const;
+
+private:
+    std::set<std::pair<TimePoint, RequestId>> order_;
+    std::unordered_map<RequestId, TimePoint> times_;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/endpointchooser.cpp
@@ -0,0 +1,228 @@
+#include "dispatch/endpointchooser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+std::uint64_t neededTokens(const RequestSpec &spec)
+{
+    return spec.promptTokens + spec.maxTokens;
+}
+
+bool holds(const FleetState::Candidate &candidate, const RequestSpec &spec)
+{
+    const std::uint64_t capacity = GroupPlanner::capacity(candidate);
+    return capacity == 0 || capacity >= neededTokens(spec);
+}
+
+bool serves(const Endpoint &endpoint, const RequestSpec &spec)
+{
+    if (spec.kind == RequestKind::Service) {
+        return endpoint.kind == EndpointKind::Service && spec.path.starts_with(endpoint.pathPrefix);
+    }
+    return endpoint.kind == EndpointKind::Engine && endpoint.model == spec.model;
+}
+
+/// Removes what @p unwanted selects, unless that would leave nothing.
+template<typename Predicate>
+EndpointChooser::Candidates withoutIfPossible(EndpointChooser::Candidates candidates, Predicate unwanted)
+{
+    EndpointChooser::Candidates kept;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(kept), [&](const auto &candidate) { return !unwanted(candidate); });
+    return kept.empty() ? std::move(candidates) : kept;
+}
+
+}
+
+EndpointChooser::EndpointChooser(const DispatcherSettings &settings, std::unique_ptr<RoutingPolicy> policy)
+    : zone_(settings.zone)
+    , probesAtOnce_(settings.probesAtOnce)
+    , avoidance_(settings.endpointAvoidance)
+    , random_(settings.seed)
+    , policy_(std::move(policy))
+    , gate_(settings)
+    , planner_(settings.zone)
+{
+}
+
+void EndpointChooser::viewChanged(ServingViewPtr view)
+{
+    gate_.controlHeard(view->receivedAt);
+    leaving_.observeView(*view);
+    std::erase_if(avoidedUntil_, [&view](const auto &item) { return !view->endpoints.contains(item.first); });
+    fleet_.setView(std::move(view));
+}
+
+void EndpointChooser::viewConfirmed(TimePoint now)
+{
+    if (fleet_.view() != nullptr) {
+        gate_.controlHeard(now);
+    }
+}
+
+void EndpointChooser::endpointProbed(TimePoint now, const EndpointProbed &answer)
+{
+    gate_.probeAnswered(now, answer);
+    if (answer.load) {
+        leaving_.observeLoad(answer.endpoint, *answer.load);
+    }
+}
+
+void EndpointChooser::endpointFailed(TimePoint now, const EndpointId &endpoint)
+{
+    avoidedUntil_[endpoint] = now + avoidance_;
+}
+
+void EndpointChooser::endpointLeaving(const EndpointId &endpoint)
+{
+    const EndpointState *state = gate_.probedState(endpoint);
+    if (state == nullptr && fleet_.view() != nullptr) {
+        const auto found = fleet_.view()->endpoints.find(endpoint);
+        state = found == fleet_.view()->endpoints.end() ? nullptr : &found->second;
+    }
+    leaving_.observeRefusal(endpoint, state);
+}
+
+bool EndpointChooser::isViewExpired(TimePoint now) const
+{
+    return gate_.isViewExpired(now);
+}
+
+EndpointChooser::Placement
+EndpointChooser::choose(TimePoint now, const RequestSpec &spec, const std::vector<EndpointId> &failed, std::vector<DispatchAction> &actions)
+{
+    Candidates candidates = usableCandidates(spec);
+    if (candidates.empty()) {
+        return reasonWithoutCandidates(spec);
+    }
+    const bool isService = spec.kind == RequestKind::Service;
+    const bool needsGroup = !isService && std::none_of(candidates.begin(), candidates.end(), [&](const auto &candidate) { return holds(candidate, spec); });
+    if (!isService && !needsGroup) {
+        std::erase_if(candidates, [&](const auto &candidate) { return !holds(candidate, spec); });
+    }
+    if (gate_.isActive(now)) {
+        const std::size_t probes = needsGroup ? candidates.size() : probesAtOnce_;
+        candidates = readyCandidates(now, std::move(candidates), probes, actions);
+        if (candidates.empty()) {
+            return NotPlaced::Wait;
+        }
+    }
+    if (needsGroup) {
+        return fitsInZone(spec) ? chooseGroup(now, spec, candidates, failed) : NotPlaced::TooLong;
+    }
+    return chooseOne(now, spec, preferredCandidates(now, std::move(candidates), failed));
+}
+
+FleetState &EndpointChooser::fleet()
+{
+    return fleet_;
+}
+
+EndpointChooser::Candidates EndpointChooser::usableCandidates(const RequestSpec &spec) const
+{
+    Candidates candidates = spec.kind == RequestKind::Service ? fleet_.candidatesForPath(spec.path) : fleet_.candidatesForModel(spec.model);
+    std::erase_if(candidates, [this](const auto &candidate) { return leaving_.isLeaving(candidate.endpoint->id, candidate.state); });
+    return candidates;
+}
+
+NotPlaced EndpointChooser::reasonWithoutCandidates(const RequestSpec &spec) const
+{
+    const ServingViewPtr &view = fleet_.view();
+    if (view == nullptr || view->document == nullptr) {
+        return NotPlaced::Wait;
+    }
+    const std::vector<Endpoint> &endpoints = view->document->endpoints;
+    const bool served = std::any_of(endpoints.begin(), endpoints.end(), [&spec](const Endpoint &endpoint) { return serves(endpoint, spec); });
+    return served ? NotPlaced::Wait : NotPlaced::NoEndpoint;
+}
+
+bool EndpointChooser::fitsInZone(const RequestSpec &spec) const
+{
+    std::map<ZoneId, std::uint64_t> zones;
+    for (const Endpoint &endpoint : fleet_.view()->document->endpoints) {
+        if (serves(endpoint, spec)) {
+            const auto state = fleet_.view()->endpoints.find(endpoint.id);
+            zones[endpoint.zone] += GroupPlanner::capacity({&endpoint, state == fleet_.view()->endpoints.end() ? nullptr : &state->second, {}});
+        }
+    }
+    return std::any_of(zones.begin(), zones.end(), [&spec](const auto &zone) { return zone.second >= neededTokens(spec); });
+}
+
+EndpointChooser::Candidates EndpointChooser::readyCandidates(TimePoint now, Candidates candidates, std::size_t probes, std::vector<DispatchAction> &actions)
+{
+    // Starts at a random place, so that entries without a control process do not all probe the same endpoints.
+    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(nextRandom() % candidates.size()), candidates.end());
+    Candidates ready;
+    std::size_t underway = 0;
+    for (FleetState::Candidate &candidate : candidates) {
+        const EndpointId &id = candidate.endpoint->id;
+        EndpointProbeGate::Readiness readiness = gate_.readiness(now, id, candidate.state);
+        if (readiness == EndpointProbeGate::Readiness::NeedsProbe && underway < probes) {
+            gate_.probeSent(now, id);
+            actions.emplace_back(ProbeEndpoint{id, candidate.endpoint->address});
+            readiness = EndpointProbeGate::Readiness::Probing;
+        }
+        underway += readiness == EndpointProbeGate::Readiness::Probing ? 1 : 0;
+        if (readiness == EndpointProbeGate::Readiness::Ready) {
+            const EndpointState *probed = gate_.probedState(id);
+            candidate.state = probed != nullptr ? probed : candidate.state;
+            ready.push_back(candidate);
+        }
+    }
+    std::erase_if(ready, [this](const auto &candidate) { return leaving_.isLeaving(candidate.endpoint->id, candidate.state); });
+    return ready;
+}
+
+EndpointChooser::Candidates EndpointChooser::preferredCandidates(TimePoint now, Candidates candidates, const std::vector<EndpointId> &failed) const
+{
+    candidates = withoutIfPossible(std::move(candidates), [&failed](const FleetState::Candidate &candidate) {
+        return std::find(failed.begin(), failed.end(), candidate.endpoint->id) != failed.end();
+    });
+    candidates = withoutIfPossible(std::move(candidates), [](const FleetState::Candidate &candidate) {
+        return candidate.state != nullptr && candidate.state->health == EndpointHealth::Suspect;
+    });
+    return withoutIfPossible(std::move(candidates), [this, now](const FleetState::Candidate &candidate) {
+        const auto avoided = avoidedUntil_.find(candidate.endpoint->id);
+        return avoided != avoidedUntil_.end() && now < avoided->second;
+    });
+}
+
+EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const RequestSpec &spec, const Candidates &candidates)
+{
+    const RouteRequest route{spec.workspace, spec.promptTokens, spec.maxTokens, spec.prefixBlocks, {}, zone_, spec.deadline};
+    const std::optional<RouteChoice> choice = policy_->choose(now, route, candidates, nextRandom());
+    if (!choice) {
+        return NotPlaced::Wait;
+    }
+    return *choice;
+}
+
+EndpointChooser::Placement
+EndpointChooser::chooseGroup(TimePoint now, const RequestSpec &spec, const Candidates &candidates, const std::vector<EndpointId> &failed) const
+{
+    std::optional<GroupPlan> plan = planner_.plan(spec, preferredCandidates(now, candidates, failed));
+    if (!plan) {
+        plan = planner_.plan(spec, candidates);
+    }
+    if (!plan) {
+        return NotPlaced::Wait;
+    }
+    return std::move(*plan);
+}
+
+std::uint64_t EndpointChooser::nextRandom()
+{
+    // SplitMix64: deterministic for a seed and cheap.
+    random_ += 0x9E3779B97F4A7C15ULL;
+    std::uint64_t mixed = random_;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94D049BB133111EBULL;
+    return mixed ^ (mixed >> 31U);
+}
+
+}
--- /dev/null
+++ b/src/dispatch/endpointchooser.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "dispatch/dispatchersettings.h"
+#include "dispatch/endpointprobegate.h"
+#include "dispatch/groupplanner.h"
+#include "dispatch/leavingendpoints.h"
+#include "dispatch/messages.h"
+#include "routing/fleetstate.h"
+#include "routing/routingpolicy.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// Why a request is not placed now.
+enum class NotPlaced {
+    Wait, ///< No endpoint can take it at present.
+    NoEndpoint, ///< No endpoint of the document serves it.
+    TooLong, ///< No zone has the memory, even if all of it were free.
+};
+
+/// Finds the endpoint or the group of endpoints for a request.
+class EndpointChooser
+{
+public:
+    using Placement = std::variant<RouteChoice, GroupPlan, NotPlaced>;
+    using Candidates = std::vector<FleetState::Candidate>;
+
+    EndpointChooser(const DispatcherSettings &settings, std::unique_ptr<RoutingPolicy> policy);
+
+    void viewChanged(ServingViewPtr view);
+    void viewConfirmed(TimePoint now);
+    void endpointProbed(TimePoint now, const EndpointProbed &answer);
+
+    /// The endpoint has refused a connection or has stopped answering.
+    void endpointFailed(TimePoint now, const EndpointId &endpoint);
+    void endpointLeaving(const EndpointId &endpoint);
+
+    [[nodiscard]] bool isViewExpired(TimePoint now) const;
+
+    /// @p failed: endpoints that have failed for this request. Probes that are needed first are added to @p actions.
+    [[nodiscard]] Placement choose(TimePoint now, const RequestSpec &spec, const std::vector<EndpointId> &failed, std::vector<DispatchAction> &actions);
+
+    [[nodiscard]] FleetState &fleet();
+
+private:
+    [[nodiscard]] Candidates usableCandidates(const RequestSpec &spec) const;
+    [[nodiscard]] NotPlaced reasonWithoutCandidates(const RequestSpec &spec) const;
+    [[nodiscard]] bool fitsInZone(const RequestSpec &spec) const;
+    [[nodiscard]] Candidates readyCandidates(TimePoint now, Candidates candidates, std::size_t probes, std::vector<DispatchAction> &actions);
+    [[nodiscard]] Candidates preferredCandidates(TimePoint now, Candidates candidates, const std::vector<EndpointId> &failed) const;
+    [[nodiscard]] Placement chooseOne(TimePoint now, const RequestSpec &spec, const Candidates &candidates);
+    [[nodiscard]] Placement chooseGroup(TimePoint now, const RequestSpec &spec, const Candidates &candidates, const std::vector<EndpointId> &failed) const;
+    [[nodiscard]] std::uint64_t nextRandom();
+
+    ZoneId zone_;
+    std::size_t probesAtOnce_;
+    Duration avoidance_;
+    std::uint64_t random_;
+    std::unique_ptr<RoutingPolicy> policy_;
+    FleetState fleet_;
+    EndpointProbeGate gate_;
+    LeavingEndpoints leaving_;
+    GroupPlanner planner_;
+    std::map<EndpointId, TimePoint> avoidedUntil_;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/endpointprobegate.cpp
@@ -0,0 +1,93 @@
+#include "dispatch/endpointprobegate.h"
+
+#include <algorithm>
+
+namespace Lentillock
+{
+
+EndpointProbeGate::EndpointProbeGate(const DispatcherSettings &settings)
+    : controlSilenceLimit_(settings.controlSilenceLimit)
+    , maxViewAge_(settings.maxViewAge)
+    , maxStateAge_(settings.maxEndpointStateAge)
+    , probeTimeout_(settings.probeTimeout)
+{
+}
+
+void EndpointProbeGate::controlHeard(TimePoint at)
+{
+    const TimePoint previous = heardAt_.value_or(at);
+    heardAt_ = std::max(previous, at);
+    if (at > previous) {
+        // The view tells the state of endpoints again.
+        std::erase_if(probes_, [this](const auto &item) { return !item.second.sentAt || *item.second.sentAt + probeTimeout_ < *heardAt_; });
+    }
+}
+
+bool EndpointProbeGate::isActive(TimePoint now) const
+{
+    return !heardAt_ || now - *heardAt_ > controlSilenceLimit_;
+}
+
+bool EndpointProbeGate::isViewExpired(TimePoint now) const
+{
+    return !heardAt_ || now - *heardAt_ > maxViewAge_;
+}
+
+EndpointProbeGate::Readiness EndpointProbeGate::readiness(TimePoint now, const EndpointId &endpoint, const EndpointState *state) const
+{
+    const auto found = probes_.find(endpoint);
+    const bool seenByControl = state != nullptr && isRecent(now, state->observedAt);
+    if (found == probes_.end()) {
+        return seenByControl ? Readiness::Ready : Readiness::NeedsProbe;
+    }
+    const Probe &probe = found->second;
+    if (probe.missedAt && isRecent(now, *probe.missedAt)) {
+        return Readiness::Unreachable;
+    }
+    if (seenByControl || (probe.state && isRecent(now, probe.state->observedAt))) {
+        return Readiness::Ready;
+    }
+    if (!probe.sentAt) {
+        return Readiness::NeedsProbe;
+    }
+    if (now - *probe.sentAt <= probeTimeout_) {
+        return Readiness::Probing;
+    }
+    // Not answered at all; it is probed again once that has become old.
+    return now - *probe.sentAt <= probeTimeout_ + maxStateAge_ ? Readiness::Unreachable : Readiness::NeedsProbe;
+}
+
+void EndpointProbeGate::probeSent(TimePoint now, const EndpointId &endpoint)
+{
+    probes_[endpoint].sentAt = now;
+}
+
+void EndpointProbeGate::probeAnswered(TimePoint now, const EndpointProbed &answer)
+{
+    const auto found = probes_.find(answer.endpoint);
+    if (found == probes_.end()) {
+        return;
+    }
+    Probe &probe = found->second;
+    probe.sentAt.reset();
+    if (!answer.load) {
+        probe.missedAt = now;
+        return;
+    }
+    probe.missedAt.reset();
+    const EndpointHealth health = answer.load->draining ? EndpointHealth::Leaving : EndpointHealth::Live;
+    probe.state = EndpointState{answer.endpoint, health, answer.load, now};
+}
+
+const EndpointState *EndpointProbeGate::probedState(const EndpointId &endpoint) const
+{
+    const auto found = probes_.find(endpoint);
+    return found == probes_.end() || !found->second.state ? nullptr : &*found->second.state;
+}
+
+bool EndpointProbeGate::isRecent(TimePoint now, TimePoint observed) const
+{
+    return now - observed <= maxStateAge_;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/failure.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+
+namespace Lentillock
+{
+
+/// Why a request has failed, as its caller is told.
+struct Failure {
+    int status = 500;
+    std::string code;
+    std::string message;
+    bool retryLater = false; ///< The caller is told when to try again.
+
+    bool operator==(const Failure &) const = default;
+};
+
+namespace Failures
+{
+
+Failure deadlineExceeded();
+Failure cannotFinishInTime();
+Failure overloaded();
+Failure draining();
+Failure aborted();
+Failure viewExpired();
+Failure noEndpoint();
+Failure promptTooLong();
+Failure keyInUse(const std::string &message);
+Failure keyRefused(const std::string &message);
+Failure retryLimit(const std::string &cause);
+Failure endpointFailed(const std::string &cause);
+Failure answerInconsistent();
+Failure rejected(int status, const std::string &message);
+Failure callerGone();
+
+}
+
+}
--- /dev/null
+++ b/src/dispatch/groupplanner.cpp
@@ -0,0 +1,162 @@
+#include "dispatch/groupplanner.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+struct Share {
+    const Endpoint *endpoint = nullptr;
+    std::uint64_t available = 0;
+    std::uint64_t promptTokens = 0;
+};
+
+// Prompt lengths are estimates, so each reservation has this part of its tokens as a margin if there is room.
+constexpr std::uint64_t MarginDivisor = 16;
+
+/// The fewest endpoints that hold @p tokens, largest first; empty if all together do not.
+std::vector<Share> fewestThatFit(std::vector<Share> shares, std::uint64_t tokens)
+{
+    std::sort(shares.begin(), shares.end(), [](const Share &left, const Share &right) {
+        return left.available != right.available ? left.available > right.available : left.endpoint->id < right.endpoint->id;
+    });
+    std::uint64_t sum = 0;
+    for (std::size_t count = 0; count < shares.size(); ++count) {
+        sum += shares[count].available;
+        if (sum >= tokens) {
+            shares.resize(count + 1);
+            return shares;
+        }
+    }
+    return {};
+}
+
+/// Divides the prompt in proportion to the available memory. The first share also has to hold the answer.
+void divide(std::vector<Share> &shares, std::uint64_t promptTokens, std::uint64_t maxTokens)
+{
+    std::uint64_t sum = 0;
+    for (const Share &share : shares) {
+        sum += share.available;
+    }
+    Share &decoder = shares.front();
+    const std::uint64_t proportional = decoder.available * (promptTokens + maxTokens) / sum;
+    const std::uint64_t others = sum - decoder.available;
+    const std::uint64_t atLeast = std::max<std::uint64_t>(1, promptTokens - std::min(promptTokens, others));
+    decoder.promptTokens = std::max(atLeast, proportional - std::min(proportional, maxTokens));
+
+    std::uint64_t remaining = promptTokens - decoder.promptTokens;
+    std::uint64_t room = others;
+    for (std::size_t i = 1; i < shares.size(); ++i) {
+        Share &share = shares[i];
+        share.promptTokens = room == 0 ? 0 : std::min(share.available, (remaining * share.available + room - 1) / room);
+        remaining -= std::min(remaining, share.promptTokens);
+        room -= share.available;
+    }
+}
+
+/// The first byte at or after @p offset at which a UTF-8 character begins.
+std::uint64_t characterStart(const std::string &text, std::uint64_t offset)
+{
+    constexpr unsigned char continuationMask = 0xC0;
+    constexpr unsigned char continuationBits = 0x80;
+    while (offset < text.size() && (static_cast<unsigned char>(text[offset]) & continuationMask) == continuationBits) {
+        ++offset;
+    }
+    return offset;
+}
+
+/// Gives each part its bytes of the prompt, in proportion to its tokens.
+void cutPrompt(std::vector<GroupPart> &parts, const std::string &prompt, std::uint64_t promptTokens)
+{
+    std::uint64_t tokens = 0;
+    std::uint64_t begin = 0;
+    for (GroupPart &part : parts) {
+        tokens += part.promptTokens;
+        const std::uint64_t end = &part == &parts.back() ? prompt.size() : characterStart(prompt, prompt.size() * tokens / promptTokens);
+        part.promptOffset = begin;
+        part.promptLength = end - begin;
+        begin = end;
+    }
+}
+
+GroupPart makePart(const Share &share, std::uint64_t answerTokens)
+{
+    GroupPart part;
+    part.endpoint = share.endpoint->id;
+    part.address = share.endpoint->address;
+    part.promptTokens = share.promptTokens;
+    const std::uint64_t needed = share.promptTokens + answerTokens;
+    part.reservedTokens = std::min(share.available, needed + needed / MarginDivisor);
+    return part;
+}
+
+GroupPlan makePlan(const ZoneId &zone, std::vector<Share> shares, const RequestSpec &spec)
+{
+    divide(shares, spec.promptTokens, spec.maxTokens);
+    GroupPlan plan;
+    plan.zone = zone;
+    for (std::size_t i = 1; i < shares.size(); ++i) {
+        if (shares[i].promptTokens > 0) {
+            plan.parts.push_back(makePart(shares[i], 0));
+        }
+    }
+    plan.parts.push_back(makePart(shares.front(), spec.maxTokens));
+    cutPrompt(plan.parts, *spec.prompt, spec.promptTokens);
+    return plan;
+}
+
+}
+
+GroupPlanner::GroupPlanner(ZoneId ownZone)
+    : ownZone_(std::move(ownZone))
+{
+}
+
+std::uint64_t GroupPlanner::capacity(const Candidate &candidate)
+{
+    if (candidate.state != nullptr && candidate.state->load.has_value() && candidate.state->load->totalTokens > 0) {
+        return candidate.state->load->totalTokens;
+    }
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, candidate.endpoint->memoryTokens));
+}
+
+std::uint64_t GroupPlanner::available(const Candidate &candidate)
+{
+    const std::uint64_t total = capacity(candidate);
+    const std::uint64_t unheld = total - std::min(total, candidate.inFlight.heldTokens);
+    const bool reported = candidate.state != nullptr && candidate.state->load.has_value();
+    return reported ? std::min(unheld, candidate.state->load->freeTokens) : unheld;
+}
+
+std::optional<GroupPlan> GroupPlanner::plan(const RequestSpec &spec, const std::vector<Candidate> &candidates) const
+{
+    std::map<ZoneId, std::vector<Share>> zones;
+    for (const Candidate &candidate : candidates) {
+        if (const std::uint64_t free = available(candidate); free > 0) {
+            zones[candidate.endpoint->zone].push_back({candidate.endpoint, free, 0});
+        }
+    }
+    const ZoneId *bestZone = nullptr;
+    std::vector<Share> best;
+    for (const auto &[zone, shares] : zones) {
+        std::vector<Share> found = fewestThatFit(shares, spec.promptTokens + spec.maxTokens);
+        if (found.empty() || found.front().available <= spec.maxTokens) {
+            continue;
+        }
+        if (best.empty() || found.size() < best.size() || (found.size() == best.size() && zone == ownZone_)) {
+            best = std::move(found);
+            bestZone = &zone;
+        }
+    }
+    if (bestZone == nullptr || spec.prompt == nullptr || spec.promptTokens == 0) {
+        return std::nullopt;
+    }
+    return makePlan(*bestZone, std::move(best), spec);
+}
+
+}
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -60,6 +60,7 @@
 
 // Messages to the dispatcher.
 
+/// Identifiers are unique among active requests; a repeated arrival is dropped and counted.
 struct RequestArrived {
     RequestSpecPtr spec;
 };
@@ -117,6 +118,7 @@
     AttemptFailure failure = AttemptFailure::Broken;
     int status = 0;
     std::string message;
+    bool draining = false; ///< The endpoint states that it is leaving.
 };
 
 enum class EngineRequestState {
@@ -153,6 +155,10 @@
     ServingViewPtr view;
 };
 
+/// A heartbeat of a control process: the view is still current.
+struct ViewConfirmed {
+};
+
 /// Refuse new requests; running ones finish.
 struct DrainStarted {
 };
@@ -173,6 +179,7 @@
                                    AllocationAnswered,
                                    PrefillAnswered,
                                    ViewChanged,
+                                   ViewConfirmed,
                                    DrainStarted,
                                    AbortAll>;
 
--- /dev/null
+++ b/src/dispatch/requestcontroller.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "dispatch/answerassembler.h"
+#include "dispatch/claimcontroller.h"
+#include "dispatch/dispatchcontext.h"
+#include "dispatch/failure.h"
+#include "dispatch/groupcontroller.h"
+#include "dispatch/requesttrace.h"
+#include "dispatch/runstatetracker.h"
+#include "dispatch/silencemonitor.h"
+
+#include <boost/json/object.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// The state machine of one request, from its admission to its last action.
+class RequestController
+{
+public:
+    enum class State {
+        Queued,
+        Claiming,
+        Reserving,
+        Dispatching,
+        Streaming,
+        Done,
+    };
+
+    RequestController(DispatchContext &context, RequestSpecPtr spec, TimePoint now);
+
+    /// Puts the request into the queue.
+    void admit(TimePoint now);
+
+    /// Ends the request before it has been admitted.
+    void refuse(TimePoint now, const Failure &failure);
+
+    [[nodiscard]] bool isReadyToPlace(TimePoint now) const;
+
+    /// Finds an endpoint and starts the claim, the reservations or the attempt. Leaves the request queued if there is none.
+    void place(TimePoint now);
+
+    void handle(TimePoint now, const CallerGone &message);
+    void handle(TimePoint now, const ClaimDecided &message);
+    void handle(TimePoint now, const AttemptAccepted &message);
+    void handle(TimePoint now, const AttemptChunk &message);
+    void handle(TimePoint now, const AttemptEnded &message);
+    void handle(TimePoint now, const AttemptFailed &message);
+    void handle(TimePoint now, const AttemptProbed &message);
+    void handle(TimePoint now, const AllocationAnswered &message);
+    void handle(TimePoint now, const PrefillAnswered &message);
+    void handle(TimePoint now, const EndpointProbed &message);
+
+    void advance(TimePoint now);
+    void abort(TimePoint now);
+
+    [[nodiscard]] TimePoint nextDue() const;
+    [[nodiscard]] bool isDone() const;
+    [[nodiscard]] bool hasFailedEndpoints() const;
+    [[nodiscard]] const RequestSpec &spec() const;
+    [[nodiscard]] boost::json::object toJson() const;
+    [[nodiscard]] RequestTrace takeTrace();
+
+private:
+    struct LiveAttempt {
+        AttemptId id;
+        EndpointId endpoint;
+        std::string address;
+        SilenceMonitor silence;
+        std::optional<TimePoint> giveUpAt; ///< Services only: they cannot be probed.
+        bool reached = false; ///< The endpoint has shown that it has the attempt.
+        bool firstToken = false;
+        int status = 200;
+        std::string contentType;
+        std::optional<std::uint64_t> gapAt; ///< Position at which a gap has led to a resumption.
+    };
+
+    void enqueue(TimePoint now, TimePoint notBefore);
+    void askClaim(TimePoint now);
+    void placeOn(TimePoint now, const RouteChoice &choice);
+    void placeOn(TimePoint now, GroupPlan plan);
+    void placeOn(TimePoint now, NotPlaced reason);
+    void startAttempt(TimePoint now, StartAttempt start);
+    void groupProgressed(TimePoint now, GroupController::Progress progress);
+    void releaseGroup(TimePoint now);
+
+    [[nodiscard]] bool isLive(const AttemptId &attempt);
+    void chunkDropped(TimePoint now, AnswerAssembler::ChunkResult result);
+    void deliver(TimePoint now, const AttemptChunk &chunk);
+    void advanceAttempt(TimePoint now);
+    void decide(TimePoint now, SilenceMonitor::Decision decision);
+    void probe(TimePoint now);
+    void resume(TimePoint now);
+    void resumeAfterGap(TimePoint now);
+    void giveUp(TimePoint now, const std::string &cause);
+    void reportFailure(TimePoint now, const AttemptFailed &message);
+    void closeAttempt();
+    void closeAndCancelAttempt();
+    void retry(TimePoint now, const EndpointId &failed, bool refused, const std::string &cause);
+    [[nodiscard]] bool isRetryAllowed() const;
+    void prepareContinuation();
+
+    void succeed(TimePoint now, const AttemptEnded &end);
+    void fail(TimePoint now, const Failure &failure);
+    void finish(TimePoint now, FinishRequest action);
+
+    DispatchContext &context_;
+    RequestSpecPtr spec_; ///< As it arrived.
+    RequestSpecPtr remaining_; ///< What is still to be generated; differs from spec_ in a continuation.
+    RequestTrace trace_;
+    State state_ = State::Queued;
+    TimePoint arrival_;
+    TimePoint notBefore_;
+    bool waitTraced_ = false;
+    ClaimController claim_;
+    RunStateTracker runState_;
+    AnswerAssembler assembler_;
+    std::unique_ptr<GroupController> group_;
+    std::optional<LiveAttempt> attempt_;
+    std::vector<EndpointId> failed_;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/requesttrace.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+
+#include <boost/json/object.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// The course of one request, for explain().
+class RequestTrace
+{
+public:
+    RequestTrace(RequestId request, WorkspaceId workspace, TimePoint arrival, TimePoint deadline, std::size_t maxEvents);
+
+    /// @p what must be a literal. Beyond the limit only the last event is kept up to date.
+    void add(TimePoint now, std::string_view what, const std::string &detail = {});
+
+    [[nodiscard]] const RequestId &request() const;
+    [[nodiscard]] boost::json::object toJson() const;
+
+private:
+    struct Event {
+        TimePoint at;
+        std::string_view what;
+        std::string detail;
+    };
+
+    RequestId request_;
+    WorkspaceId workspace_;
+    TimePoint arrival_;
+    TimePoint deadline_;
+    std::size_t maxEvents_;
+    std::size_t dropped_ = 0;
+    std::vector<Event> events_;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/retrybudget.cpp
@@ -0,0 +1,101 @@
+#include "dispatch/retrybudget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+// Credit beyond ten times the minimum of a window would let a long quiet period end in a burst of retries.
+constexpr double MaxCreditOfMinimum = 10;
+
+// A bucket that has not been used for this many windows is full again and can be forgotten.
+constexpr int IdleWindows = 10;
+
+}
+
+RetryBudget::RetryBudget(const DispatcherSettings &settings)
+    : share_(settings.retryShare)
+    , workspaceMinimum_(settings.minWorkspaceRetries)
+    , fleetMinimum_(settings.minFleetRetries)
+    , window_(settings.retryWindow)
+{
+}
+
+void RetryBudget::requestDispatched(TimePoint now, const WorkspaceId &workspace)
+{
+    forgetIdle(now);
+    earn(now, workspaceBucket(now, workspace), workspaceMinimum_);
+    earn(now, fleet_, fleetMinimum_);
+}
+
+bool RetryBudget::takeRetry(TimePoint now, const WorkspaceId &workspace)
+{
+    forgetIdle(now);
+    Bucket &bucket = workspaceBucket(now, workspace);
+    refill(now, bucket, workspaceMinimum_);
+    refill(now, fleet_, fleetMinimum_);
+    if (bucket.credit < 1 || fleet_.credit < 1) {
+        return false;
+    }
+    bucket.credit -= 1;
+    fleet_.credit -= 1;
+    return true;
+}
+
+double RetryBudget::fleetCredit() const
+{
+    return fleet_.credit;
+}
+
+RetryBudget::Bucket RetryBudget::fullBucket(TimePoint now, double minimum) const
+{
+    return {minimum, 0, now};
+}
+
+RetryBudget::Bucket &RetryBudget::workspaceBucket(TimePoint now, const WorkspaceId &workspace)
+{
+    const auto found = workspaces_.find(workspace);
+    if (found != workspaces_.end()) {
+        return found->second;
+    }
+    return workspaces_.emplace(workspace, fullBucket(now, workspaceMinimum_)).first->second;
+}
+
+void RetryBudget::refill(TimePoint now, Bucket &bucket, double minimum) const
+{
+    const double windows = std::chrono::duration<double>(now - bucket.refilledAt) / std::chrono::duration<double>(window_);
+    // The minimum is a floor and not an addition to what requests have earned.
+    const double floor = std::max(0.0, windows * minimum - bucket.earned);
+    const double limit = std::max(minimum, bucket.credit);
+    bucket.credit = std::min(limit, bucket.credit + floor);
+    bucket.earned = std::max(0.0, bucket.earned - windows * minimum);
+    bucket.refilledAt = now;
+}
+
+void RetryBudget::earn(TimePoint now, Bucket &bucket, double minimum) const
+{
+    refill(now, bucket, minimum);
+    bucket.credit = std::min(minimum * MaxCreditOfMinimum, bucket.credit + share_);
+    bucket.earned = std::min(minimum, bucket.earned + share_);
+}
+
+void RetryBudget::forgetIdle(TimePoint now)
+{
+    if (!started_) {
+        started_ = true;
+        fleet_ = fullBucket(now, fleetMinimum_);
+        cleanedAt_ = now;
+    }
+    const Duration idle = IdleWindows * window_;
+    if (now - cleanedAt_ < idle) {
+        return;
+    }
+    cleanedAt_ = now;
+    std::erase_if(workspaces_, [&](const auto &item) { return now - item.second.refilledAt >= idle && item.second.credit >= workspaceMinimum_; });
+}
+
+}
--- /dev/null
+++ b/src/dispatch/retrybudget.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+#include "dispatch/dispatchersettings.h"
+
+#include <unordered_map>
+
+namespace Lentillock
+{
+
+/// Limits retries per workspace and for the whole entry with token buckets, so that failures do not multiply the load.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const DispatcherSettings &settings);
+
+    /// Earns the share of a retry that one request is worth.
+    void requestDispatched(TimePoint now, const WorkspaceId &workspace);
+
+    /// Takes one retry out of both buckets, or nothing when either is empty.
+    bool takeRetry(TimePoint now, const WorkspaceId &workspace);
+
+    [[nodiscard]] double fleetCredit() const;
+
+private:
+    struct Bucket {
+        double credit = 0;
+        double earned = 0; ///< Since refilledAt.
+        TimePoint refilledAt;
+    };
+
+    [[nodiscard]] Bucket fullBucket(TimePoint now, double minimum) const;
+    Bucket &workspaceBucket(TimePoint now, const WorkspaceId &workspace);
+    void refill(TimePoint now, Bucket &bucket, double minimum) const;
+    void earn(TimePoint now, Bucket &bucket, double minimum) const;
+    void forgetIdle(TimePoint now);
+
+    double share_;
+    double workspaceMinimum_;
+    double fleetMinimum_;
+    Duration window_;
+    Bucket fleet_;
+    bool started_ = false;
+    TimePoint cleanedAt_;
+    std::unordered_map<WorkspaceId, Bucket> workspaces_;
+};
+
+}
