--- /dev/null
+++ b/src/claims/claimcoordinator.cpp
@@ -0,0 +1,213 @@
+#include "claims/claimcoordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lentillock
+{
+
+std::uint64_t ClaimCoordinator::nextOffset() const
+{
+    return ledger_.nextOffset();
+}
+
+const ClaimLedger &ClaimCoordinator::ledger() const
+{
+    return ledger_;
+}
+
+ClaimActions ClaimCoordinator::ask(TimePoint now, WallTime wallNow, const ClaimQuestion &question)
+{
+    const ClaimRecord claim{ClaimRecordType::Claim, question.workspace, question.key, question.attempt, ClaimRunState::Unknown};
+    if (ledger_.result(claim.workspace, claim.key, claim.attempt).standing != ClaimStanding::Unread) {
+        AnswerClaim answer = verdictOn(claim);
+        answer.token = question.token;
+        return {answer};
+    }
+    if (!ClaimLedger::acceptsAge(claim.key, wallNow)) {
+        return {AnswerClaim{question.token, ClaimVerdict::Refused, ClaimRunState::WasNotRun, "the key is older than 1 hour or more than 60 s in the future"}};
+    }
+    add(claim, question.token, question.deadline);
+    return advance(now);
+}
+
+ClaimActions ClaimCoordinator::note(TimePoint now, const ClaimNote &note)
+{
+    add(note.record, note.token, note.deadline);
+    return advance(now);
+}
+
+void ClaimCoordinator::add(const ClaimRecord &record, std::uint64_t token, TimePoint deadline)
+{
+    const PendingKey key(record.type, record.attempt);
+    const auto [entry, inserted] = pending_.try_emplace(key, Pending{record, deadline, {}, 0});
+    entry->second.tokens.push_back(token);
+    entry->second.deadline = std::max(entry->second.deadline, deadline);
+    if (inserted) {
+        unsent_.push_back(key);
+    }
+}
+
+ClaimActions ClaimCoordinator::appendFinished(TimePoint now, std::uint64_t batch, AppendResult result)
+{
+    if (!flight_ || flight_->batch != batch) {
+        return {};
+    }
+    if (result == AppendResult::Unknown) {
+        flight_->unknownSince = now;
+        return {};
+    }
+    flight_.reset();
+    if (result == AppendResult::NotAppended) {
+        requeue(batch);
+    }
+    return advance(now);
+}
+
+void ClaimCoordinator::requeue(std::uint64_t batch)
+{
+    for (auto &[key, pending] : pending_) {
+        if (pending.batch == batch) {
+            pending.batch = 0;
+            unsent_.push_back(key);
+        }
+    }
+}
+
+ClaimActions ClaimCoordinator::read(TimePoint now, const LogBatch &batch, TimePoint startedAt, bool caughtUp)
+{
+    ClaimActions actions;
+    for (const LogRecord &record : batch.records) {
+        if (record.offset >= ledger_.nextOffset()) {
+            ledger_.apply(record);
+            settle(record, actions);
+        }
+    }
+    ledger_.advanceTo(batch.next);
+    caughtUp_ = caughtUp;
+    // The records of an append with unknown result are appended again once a read that began after it has reached the end without them.
+    if (caughtUp && flight_ && flight_->unknownSince && startedAt >= *flight_->unknownSince) {
+        const std::uint64_t unknown = std::exchange(flight_, std::nullopt)->batch;
+        requeue(unknown);
+    }
+    ClaimActions more = advance(now);
+    std::ranges::move(more, std::back_inserter(actions));
+    return actions;
+}
+
+void ClaimCoordinator::settle(const LogRecord &record, ClaimActions &actions)
+{
+    const auto decoded = decodeClaimRecord(record.data);
+    if (!decoded) {
+        return;
+    }
+    const auto pending = pending_.find(PendingKey(decoded->type, decoded->attempt));
+    if (pending == pending_.end() || pending->second.record != *decoded) {
+        return;
+    }
+    answer(pending->second, actions);
+    pending_.erase(pending);
+}
+
+void ClaimCoordinator::answer(const Pending &pending, ClaimActions &actions) const
+{
+    for (const std::uint64_t token : pending.tokens) {
+        if (pending.record.type != ClaimRecordType::Claim) {
+            actions.emplace_back(AnswerNote{token, true});
+            continue;
+        }
+        AnswerClaim answer = verdictOn(pending.record);
+        answer.token = token;
+        actions.emplace_back(std::move(answer));
+    }
+}
+
+AnswerClaim ClaimCoordinator::verdictOn(const ClaimRecord &claim) const
+{
+    const ClaimResult result = ledger_.result(claim.workspace, claim.key, claim.attempt);
+    switch (result.standing) {
+    case ClaimStanding::Won:
+        return {0, ClaimVerdict::Won, result.winnerState, {}};
+    case ClaimStanding::Lost:
+        return {0, ClaimVerdict::Lost, result.winnerState, "another attempt holds the key"};
+    case ClaimStanding::Released:
+        return {0, ClaimVerdict::Refused, result.winnerState, "the attempt was released"};
+    case ClaimStanding::Refused:
+        return {0, ClaimVerdict::Refused, result.winnerState, "the key is older than the records of this VM"};
+    case ClaimStanding::Unread:
+        break;
+    }
+    // The claim's record was read, but its key was out of range at the log's time.
+    return {0, ClaimVerdict::Refused, result.winnerState, "the key is older than 1 hour or more than 60 s in the future"};
+}
+
+ClaimActions ClaimCoordinator::expired(TimePoint now, std::uint64_t earliest)
+{
+    ledger_.restart(earliest);
+    markSent_ = false;
+    return advance(now);
+}
+
+ClaimActions ClaimCoordinator::advance(TimePoint now)
+{
+    ClaimActions actions;
+    expireQuestions(now, actions);
+    startAppend(now, actions);
+    return actions;
+}
+
+void ClaimCoordinator::expireQuestions(TimePoint now, ClaimActions &actions)
+{
+    for (auto entry = pending_.begin(); entry != pending_.end();) {
+        const Pending &pending = entry->second;
+        if (pending.deadline > now) {
+            ++entry;
+            continue;
+        }
+        for (const std::uint64_t token : pending.tokens) {
+            if (pending.record.type == ClaimRecordType::Claim) {
+                actions.emplace_back(AnswerClaim{token, ClaimVerdict::Undecided, ClaimRunState::Unknown, "the log did not confirm the claim in time"});
+            } else {
+                actions.emplace_back(AnswerNote{token, false});
+            }
+        }
+        std::erase(unsent_, entry->first);
+        entry = pending_.erase(entry);
+    }
+}
+
+void ClaimCoordinator::startAppend(TimePoint now, ClaimActions &actions)
+{
+    const bool markNeeded = caughtUp_ && !ledger_.isDated() && !markSent_;
+    if (flight_ || (unsent_.empty() && !markNeeded) || (lastAppend_ && now < *lastAppend_ + AppendInterval)) {
+        return;
+    }
+    AppendClaims append{nextBatch_++, {}};
+    if (markNeeded) {
+        append.records.push_back(encodeClaimRecord({ClaimRecordType::Mark, {}, {}, {}, {}}));
+        markSent_ = true;
+    }
+    while (!unsent_.empty() && append.records.size() < MaxBatch) {
+        Pending &pending = pending_.at(unsent_.front());
+        unsent_.pop_front();
+        pending.batch = append.batch;
+        append.records.push_back(encodeClaimRecord(pending.record));
+    }
+    flight_ = Flight{append.batch, std::nullopt};
+    lastAppend_ = now;
+    actions.emplace_back(std::move(append));
+}
+
+std::optional<TimePoint> ClaimCoordinator::nextDue() const
+{
+    std::optional<TimePoint> due;
+    if (!flight_ && !unsent_.empty() && lastAppend_) {
+        due = *lastAppend_ + AppendInterval;
+    }
+    for (const auto &[key, pending] : pending_) {
+        due = due ? std::min(*due, pending.deadline) : pending.deadline;
+    }
+    return due;
+}
+
+}
