--- /dev/null
+++ b/src/control/memoryreclaimer.cpp
@@ -0,0 +1,138 @@
+#include "control/memoryreclaimer.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Lentillock
+{
+
+std::optional<AllocationOwner> AllocationOwner::parse(std::string_view tag)
+{
+    const std::size_t first = tag.find('/');
+    const std::size_t second = first == std::string_view::npos ? first : tag.find('/', first + 1);
+    if (second == std::string_view::npos || first == 0 || second + 1 == tag.size()) {
+        return std::nullopt;
+    }
+    const std::string_view number = tag.substr(first + 1, second - first - 1);
+    AllocationOwner owner{VmId(std::string(tag.substr(0, first))), 0, RequestId(std::string(tag.substr(second + 1)))};
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), owner.incarnation);
+    if (error != std::errc() || end != number.data() + number.size()) {
+        return std::nullopt;
+    }
+    return owner;
+}
+
+MemoryReclaimer::MemoryReclaimer(VmId self)
+    : self_(std::move(self))
+{
+}
+
+void MemoryReclaimer::setFleet(const std::vector<EndpointId> &engines, const std::vector<VmId> &liveVms)
+{
+    std::vector<std::string> names;
+    names.reserve(liveVms.size());
+    for (const VmId &vm : liveVms) {
+        names.push_back(vm.value());
+    }
+    std::map<EndpointId, std::vector<Held>> kept;
+    for (const EndpointId &engine : engines) {
+        const auto responsible = rendezvousOrder(engine.value(), names, ResponsibleVms);
+        if (std::ranges::find(responsible, self_.value()) != responsible.end()) {
+            kept[engine] = std::move(engines_[engine]);
+        }
+    }
+    engines_ = std::move(kept);
+}
+
+void MemoryReclaimer::setEntries(const std::vector<EntryProcess> &entries)
+{
+    entries_ = entries;
+}
+
+std::vector<ReclaimAction> MemoryReclaimer::advance(TimePoint now)
+{
+    if (nextList_ && now < *nextList_) {
+        return {};
+    }
+    nextList_ = now + ListInterval;
+    std::vector<ReclaimAction> actions;
+    for (const auto &[engine, held] : engines_) {
+        actions.emplace_back(ListAllocations{engine});
+    }
+    return actions;
+}
+
+std::vector<ReclaimAction> MemoryReclaimer::listed(const EndpointId &endpoint, const std::vector<ListedAllocation> &allocations)
+{
+    const auto engine = engines_.find(endpoint);
+    if (engine == engines_.end()) {
+        return {};
+    }
+    engine->second.clear();
+    std::vector<ReclaimAction> actions;
+    std::map<VmId, AskOwner> questions;
+    for (const ListedAllocation &allocation : allocations) {
+        const auto owner = AllocationOwner::parse(allocation.owner);
+        const EntryProcess *entry = owner ? entryOf(owner->vm) : nullptr;
+        const bool overdue = allocation.remaining < -DeadlineGrace;
+        if (overdue || (entry != nullptr && entry->incarnation > owner->incarnation)) {
+            actions.push_back(release(endpoint, allocation.id));
+        } else if (entry != nullptr && !entry->address.empty()) {
+            engine->second.push_back({allocation.id, *owner});
+            AskOwner &question = questions[owner->vm];
+            question.vm = owner->vm;
+            question.address = entry->address;
+            question.requests.push_back(owner->request);
+        }
+    }
+    for (auto &[vm, question] : questions) {
+        actions.emplace_back(std::move(question));
+    }
+    return actions;
+}
+
+std::vector<ReclaimAction> MemoryReclaimer::ownerAnswered(const OwnerAnswer &answer)
+{
+    std::vector<ReclaimAction> actions;
+    for (auto &[engine, held] : engines_) {
+        std::erase_if(held, [&](const Held &allocation) {
+            if (allocation.owner.vm != answer.vm || answer.incarnation < allocation.owner.incarnation) {
+                return false;
+            }
+            const bool replaced = answer.incarnation > allocation.owner.incarnation;
+            if (!replaced && std::ranges::find(answer.inactive, allocation.owner.request) == answer.inactive.end()) {
+                return false;
+            }
+            actions.push_back(release(engine, allocation.id));
+            return true;
+        });
+    }
+    return actions;
+}
+
+ReclaimAction MemoryReclaimer::release(const EndpointId &endpoint, const AllocationId &allocation)
+{
+    ++releases_;
+    return ReleaseAllocation{endpoint, allocation};
+}
+
+const EntryProcess *MemoryReclaimer::entryOf(const VmId &vm) const
+{
+    const auto entry = std::ranges::find(entries_, vm, &EntryProcess::vm);
+    return entry == entries_.end() ? nullptr : &*entry;
+}
+
+std::size_t MemoryReclaimer::responsibleFor() const
+{
+    return engines_.size();
+}
+
+std::uint64_t MemoryReclaimer::releases() const
+{
+    return releases_;
+}
+
+}
