--- a/src/claims/claimcoordinator.cpp
+++ b/src/claims/claimcoordinator.cpp
@@ -25,7 +25,7 @@
         return {answer};
     }
     if (!ClaimLedger::acceptsAge(claim.key, wallNow)) {
-        return {AnswerClaim{question.token, ClaimVerdict::Refused, ClaimRunState::WasNotRun, "the key is older than 1 hour or more than 60 s in the future"}};
+        return {AnswerClaim{question.token, ClaimDecision::Refused, ClaimRunState::WasNotRun, "the key is older than 1 hour or more than 60 s in the future"}};
     }
     add(claim, question.token, question.deadline);
     return advance(now);
@@ -127,18 +127,18 @@
     const ClaimResult result = ledger_.result(claim.workspace, claim.key, claim.attempt);
     switch (result.standing) {
     case ClaimStanding::Won:
-        return {0, ClaimVerdict::Won, result.winnerState, {}};
+        return {0, ClaimDecision::Won, result.winnerState, {}};
     case ClaimStanding::Lost:
-        return {0, ClaimVerdict::Lost, result.winnerState, "another attempt holds the key"};
+        return {0, ClaimDecision::Lost, result.winnerState, "another attempt holds the key"};
     case ClaimStanding::Released:
-        return {0, ClaimVerdict::Refused, result.winnerState, "the attempt was released"};
+        return {0, ClaimDecision::Refused, result.winnerState, "the attempt was released"};
     case ClaimStanding::Refused:
-        return {0, ClaimVerdict::Refused, result.winnerState, "the key is older than the records of this VM"};
+        return {0, ClaimDecision::Refused, result.winnerState, "the key is older than the records of this VM"};
     case ClaimStanding::Unread:
         break;
     }
     // The claim's record was read, but its key was out of range at the log's time.
-    return {0, ClaimVerdict::Refused, result.winnerState, "the key is older than 1 hour or more than 60 s in the future"};
+    return {0, ClaimDecision::Refused, result.winnerState, "the key is older than 1 hour or more than 60 s in the future"};
 }
 
 ClaimActions ClaimCoordinator::expired(TimePoint now, std::uint64_t earliest)
@@ -166,7 +166,7 @@
         }
         for (const std::uint64_t token : pending.tokens) {
             if (pending.record.type == ClaimRecordType::Claim) {
-                actions.emplace_back(AnswerClaim{token, ClaimVerdict::Undecided, ClaimRunState::Unknown, "the log did not confirm the claim in time"});
+                actions.emplace_back(AnswerClaim{token, ClaimDecision::Undecided, ClaimRunState::Unknown, "the log did not confirm the claim in time"});
             } else {
                 actions.emplace_back(AnswerNote{token, false});
             }
--- a/src/claims/claimcoordinator.h
+++ b/src/claims/claimcoordinator.h
@@ -14,7 +14,7 @@
 namespace Lentillock
 {
 
-enum class ClaimVerdict {
+enum class ClaimDecision {
     Undecided, ///< Not decided within the time of the question.
     Won,
     Lost,
@@ -47,7 +47,7 @@
 
 struct AnswerClaim {
     std::uint64_t token = 0;
-    ClaimVerdict verdict = ClaimVerdict::Undecided;
+    ClaimDecision verdict = ClaimDecision::Undecided;
     ClaimRunState winnerState = ClaimRunState::Unknown;
     std::string message;
 
--- /dev/null
+++ b/src/control/configstate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "config/servingdocument.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lentillock
+{
+
+struct ConfigSectionState {
+    std::string name;
+    std::uint64_t version = 0;
+    std::string text;
+
+    auto operator<=>(const ConfigSectionState &) const = default;
+};
+
+/// The configuration in force in this process. Never modified after it has been built.
+struct ConfigState {
+    std::uint64_t version = 0;
+    std::uint64_t throughOffset = 0; ///< Next offset of the log that the fold reads.
+    std::uint32_t rulesVersion = 0;
+    std::vector<ConfigSectionState> sections;
+    ServingDocumentPtr document;
+    bool caughtUp = false; ///< The fold has reached the end of the log, or a peer's state while the log is down.
+    bool stopped = false; ///< A record with unknown rules was read; the last configuration stays in force.
+};
+
+using ConfigStatePtr = std::shared_ptr<const ConfigState>;
+
+}
--- /dev/null
+++ b/src/control/controlservice.cpp
@@ -0,0 +1,371 @@
+#include "control/controlservice.h"
+
+#include "control/viewwatch.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace Lentillock
+{
+
+namespace rpc = ::lentillock::rpc;
+
+namespace
+{
+
+/// Time for a note whose caller gave no deadline.
+constexpr milliseconds DefaultNoteTime{10000};
+constexpr int MinPingIntervalMs = 5000;
+
+TimePoint currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::optional<ClaimQuestion> decodeQuestion(const rpc::ClaimRequest &request)
+{
+    const auto key = IdempotencyKey::parse(request.key());
+    if (!key || request.attempt().empty() || request.workspace().empty()) {
+        return std::nullopt;
+    }
+    return ClaimQuestion{
+        0, WorkspaceId(request.workspace()), *key, AttemptId(request.attempt()), currentTime() + milliseconds(static_cast<std::int64_t>(request.remaining_ms()))};
+}
+
+template<typename Request>
+std::optional<ClaimRecord> decodeNote(ClaimRecordType type, const Request &request, ClaimRunState outcome)
+{
+    const auto key = IdempotencyKey::parse(request.key());
+    if (!key || request.attempt().empty() || request.workspace().empty()) {
+        return std::nullopt;
+    }
+    return ClaimRecord{type, WorkspaceId(request.workspace()), *key, AttemptId(request.attempt()), outcome};
+}
+
+std::optional<ClaimRecord> decodeNote(const rpc::ReleaseRequest &request)
+{
+    return decodeNote(ClaimRecordType::Release, request, ClaimRunState::Unknown);
+}
+
+std::optional<ClaimRecord> decodeNote(const rpc::OutcomeRequest &request)
+{
+    if (!rpc::RunState_IsValid(request.state())) {
+        return std::nullopt;
+    }
+    return decodeNote(ClaimRecordType::Outcome, request, static_cast<ClaimRunState>(request.state()));
+}
+
+void encode(const AnswerClaim &answer, rpc::ClaimReply &reply)
+{
+    reply.set_verdict(static_cast<rpc::ClaimVerdict>(answer.verdict));
+    reply.set_winner_state(static_cast<rpc::RunState>(answer.winnerState));
+    reply.set_message(answer.message);
+}
+
+const AnswerClaim MalformedKey{0, ClaimDecision::Refused, ClaimRunState::WasNotRun, "the key is not a UUID of version 7, or workspace or attempt is missing"};
+
+/// The deadline of the call on this process's monotonic clock.
+TimePoint deadlineOf(const grpc::CallbackServerContext &context)
+{
+    const auto remaining = context.deadline() - std::chrono::system_clock::now();
+    return currentTime() + std::min<Duration>(DefaultNoteTime, std::chrono::duration_cast<Duration>(remaining));
+}
+
+/// Finishes a call when the last of its parts has been answered.
+class PartCounter
+{
+public:
+    PartCounter(int parts, grpc::ServerUnaryReactor *reactor)
+        : parts_(parts)
+        , reactor_(reactor)
+    {
+    }
+
+    void partDone()
+    {
+        if (--parts_ == 0) {
+            reactor_->Finish(grpc::Status::OK);
+        }
+    }
+
+private:
+    std::atomic<int> parts_;
+    grpc::ServerUnaryReactor *reactor_;
+};
+
+}
+
+class ControlService::Implementation : public rpc::Control::CallbackService
+{
+public:
+    explicit Implementation(ControlServiceTargets targets)
+        : targets_(std::move(targets))
+        , fleet_(std::make_shared<FleetSnapshot>())
+        , config_(std::make_shared<ConfigState>())
+    {
+    }
+
+    void start(const std::string &address, int *port)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(address, grpc::InsecureServerCredentials(), port);
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, MinPingIntervalMs);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        // Two processes on one port would split the calls between them.
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.RegisterService(this);
+        server_ = builder.BuildAndStart();
+    }
+
+    void shutDown(milliseconds limit)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+            for (ViewWatch *watch : watches_) {
+                watch->close();
+            }
+        }
+        if (server_ != nullptr) {
+            server_->Shutdown(std::chrono::system_clock::now() + limit);
+            server_->Wait();
+        }
+        std::unique_lock lock(mutex_);
+        watchesDone_.wait(lock, [this] { return watches_.empty(); });
+    }
+
+    void setFleet(const FleetSnapshotPtr &fleet)
+    {
+        const std::lock_guard lock(mutex_);
+        fleet_ = fleet;
+        for (ViewWatch *watch : watches_) {
+            watch->publish(fleet_, config_);
+        }
+    }
+
+    void setConfig(const ConfigStatePtr &config)
+    {
+        const std::lock_guard lock(mutex_);
+        config_ = config;
+    }
+
+    grpc::ServerWriteReactor<rpc::ViewUpdate> *WatchView(grpc::CallbackServerContext * /*context*/, const rpc::WatchViewRequest *request) override
+    {
+        if (!request->entry_address().empty()) {
+            targets_.fleet(EntryConnected{request->entry_address(), request->entry_incarnation()});
+        }
+        auto *watch = new ViewWatch(request->config_version(), [this](ViewWatch *done) { forget(done); });
+        const std::lock_guard lock(mutex_);
+        watches_.insert(watch);
+        if (stopping_) {
+            watch->close();
+        } else {
+            watch->publish(fleet_, config_);
+        }
+        return watch;
+    }
+
+    grpc::ServerUnaryReactor *Claim(grpc::CallbackServerContext *context, const rpc::ClaimRequest *request, rpc::ClaimReply *reply) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        const auto question = decodeQuestion(*request);
+        if (!question) {
+            encode(MalformedKey, *reply);
+            reactor->Finish(grpc::Status::OK);
+            return reactor;
+        }
+        targets_.claims.claim(*question, [reactor, reply](const AnswerClaim &answer) {
+            encode(answer, *reply);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *Release(grpc::CallbackServerContext *context, const rpc::ReleaseRequest *request, rpc::Empty * /*reply*/) override
+    {
+        return recordNote(context, decodeNote(*request));
+    }
+
+    grpc::ServerUnaryReactor *RecordOutcome(grpc::CallbackServerContext *context, const rpc::OutcomeRequest *request, rpc::Empty * /*reply*/) override
+    {
+        return recordNote(context, decodeNote(*request));
+    }
+
+    grpc::ServerUnaryReactor *ReportEndpoint(grpc::CallbackServerContext *context, const rpc::EndpointReport *request, rpc::Empty * /*reply*/) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        if (rpc::EndpointEvent_IsValid(request->event())) {
+            targets_.fleet(FaultReported{EndpointId(request->endpoint()), static_cast<ReportedFault>(request->event()), request->generation()});
+        }
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *
+    ForwardClaims(grpc::CallbackServerContext *context, const rpc::ForwardClaimsRequest *request, rpc::ForwardClaimsReply *reply) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        const int notes = request->releases_size() + request->outcomes_size();
+        // One part more than there are answers, so that the call does not finish before all parts have been started.
+        auto parts = std::make_shared<PartCounter>(request->claims_size() + notes + 1, reactor);
+        for (int i = 0; i < request->claims_size(); ++i) {
+            reply->add_replies();
+        }
+        reply->mutable_recorded()->Resize(notes, false);
+        for (int i = 0; i < request->claims_size(); ++i) {
+            forwardClaim(request->claims(i), *reply->mutable_replies(i), parts);
+        }
+        int position = 0;
+        for (const rpc::ReleaseRequest &release : request->releases()) {
+            forwardNote(context, decodeNote(release), reply, position++, parts);
+        }
+        for (const rpc::OutcomeRequest &outcome : request->outcomes()) {
+            forwardNote(context, decodeNote(outcome), reply, position++, parts);
+        }
+        parts->partDone();
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *FetchConfig(grpc::CallbackServerContext *context, const rpc::FetchConfigRequest *request, rpc::ConfigState *reply) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        ConfigStatePtr config;
+        {
+            const std::lock_guard lock(mutex_);
+            config = config_;
+        }
+        reply->set_version(config->version);
+        reply->set_through_offset(config->throughOffset);
+        reply->set_rules_version(config->rulesVersion);
+        if (config->version > request->known_version()) {
+            for (const ConfigSectionState &section : config->sections) {
+                rpc::Section &encoded = *reply->add_sections();
+                encoded.set_name(section.name);
+                encoded.set_version(section.version);
+                encoded.set_text(section.text);
+            }
+        }
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *GetState(grpc::CallbackServerContext *context, const rpc::GetStateRequest *request, rpc::GetStateReply *reply) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        reply->set_json(targets_.state(request->part()));
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+private:
+    void forget(ViewWatch *watch)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            watches_.erase(watch);
+            watchesDone_.notify_all();
+        }
+        delete watch;
+    }
+
+    grpc::ServerUnaryReactor *recordNote(grpc::CallbackServerContext *context, const std::optional<ClaimRecord> &record)
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        if (!record) {
+            reactor->Finish(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, MalformedKey.message));
+            return reactor;
+        }
+        targets_.claims.note({0, *record, deadlineOf(*context)}, [reactor](bool recorded) {
+            reactor->Finish(recorded ? grpc::Status::OK : grpc::Status(grpc::StatusCode::UNAVAILABLE, "the log did not confirm the record in time"));
+        });
+        return reactor;
+    }
+
+    void forwardClaim(const rpc::ClaimRequest &request, rpc::ClaimReply &reply, const std::shared_ptr<PartCounter> &parts)
+    {
+        const auto question = decodeQuestion(request);
+        if (!question) {
+            encode(MalformedKey, reply);
+            parts->partDone();
+            return;
+        }
+        targets_.claims.claimHere(*question, [&reply, parts](const AnswerClaim &answer) {
+            encode(answer, reply);
+            parts->partDone();
+        });
+    }
+
+    void forwardNote(grpc::CallbackServerContext *context,
+                     const std::optional<ClaimRecord> &record,
+                     rpc::ForwardClaimsReply *reply,
+                     int position,
+                     const std::shared_ptr<PartCounter> &parts)
+    {
+        if (!record) {
+            parts->partDone();
+            return;
+        }
+        targets_.claims.noteHere({0, *record, deadlineOf(*context)}, [reply, position, parts](bool recorded) {
+            reply->set_recorded(position, recorded);
+            parts->partDone();
+        });
+    }
+
+    ControlServiceTargets targets_;
+    std::mutex mutex_;
+    std::condition_variable watchesDone_;
+    std::set<ViewWatch *> watches_;
+    FleetSnapshotPtr fleet_;
+    ConfigStatePtr config_;
+    bool stopping_ = false;
+    std::unique_ptr<grpc::Server> server_;
+};
+
+leaf::result<std::unique_ptr<ControlService>> ControlService::listen(const std::string &address, ControlServiceTargets targets)
+{
+    auto implementation = std::make_unique<Implementation>(std::move(targets));
+    int port = 0;
+    implementation->start(address, &port);
+    if (port == 0) {
+        return leaf::new_error("cannot listen on gRPC address " + address);
+    }
+    const std::string bound = address.substr(0, address.rfind(':') + 1) + std::to_string(port);
+    return std::unique_ptr<ControlService>(new ControlService(bound, std::move(implementation)));
+}
+
+ControlService::ControlService(std::string address, std::unique_ptr<Implementation> implementation)
+    : address_(std::move(address))
+    , implementation_(std::move(implementation))
+{
+}
+
+ControlService::~ControlService()
+{
+    shutDown(milliseconds(0));
+}
+
+void ControlService::setFleet(const FleetSnapshotPtr &fleet)
+{
+    implementation_->setFleet(fleet);
+}
+
+void ControlService::setConfig(const ConfigStatePtr &config)
+{
+    implementation_->setConfig(config);
+}
+
+const std::string &ControlService::address() const
+{
+    return address_;
+}
+
+void ControlService::shutDown(milliseconds limit)
+{
+    implementation_->shutDown(limit);
+}
+
+}
--- /dev/null
+++ b/src/control/fleettask.cpp
@@ -0,0 +1,338 @@
+#include "control/fleettask.h"
+
+#include "base/log.h"
+#include "control/gossipcodec.h"
+#include "membership/endpointsubset.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+/// Membership needs to be advanced at least this often.
+constexpr milliseconds MaxWait{100};
+/// Datagrams handled between two turns of the other work.
+constexpr int MaxDatagramsPerTurn = 256;
+constexpr milliseconds OwnerTimeout{1000};
+
+TimePoint currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime currentWallTime()
+{
+    return std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::vector<EntryProcess> entryProcesses(const std::vector<Member> &members)
+{
+    std::vector<EntryProcess> entries;
+    for (const Member &member : members) {
+        if (member.entryIncarnation != 0) {
+            entries.push_back({member.id, member.entryAddress, member.entryIncarnation});
+        }
+    }
+    return entries;
+}
+
+std::string healthName(EndpointHealth health)
+{
+    constexpr std::array<const char *, 4> names{"live", "suspect", "leaving", "dead"};
+    return names.at(static_cast<std::size_t>(health));
+}
+
+}
+
+FleetTask::FleetTask(const ControlSettings &settings, Member self, UdpSocket socket, Metrics &metrics, Publish publish)
+    : settings_(settings)
+    , socket_(std::move(socket))
+    , metrics_(metrics)
+    , publish_(std::move(publish))
+    , membership_(std::move(self), randomSeed())
+    , reclaimer_(settings.vm)
+    , config_(std::make_shared<ConfigState>())
+    , observer_(settings.pollTimeout)
+{
+    membership_.setSeeds(settings_.seeds);
+    mailbox_.setWakeUp([this] { wakeUp_.signal(); });
+    thread_ = std::thread([this] { run(); });
+}
+
+FleetTask::~FleetTask()
+{
+    stopping_ = true;
+    wakeUp_.signal();
+    thread_.join();
+}
+
+void FleetTask::post(FleetMessage message)
+{
+    mailbox_.post(std::move(message));
+}
+
+void FleetTask::run()
+{
+    while (!stopping_) {
+        waitForInput();
+        const TimePoint now = currentTime();
+        receiveDatagrams(now);
+        for (const FleetMessage &message : mailbox_.takeAll()) {
+            std::visit([&](const auto &content) { handle(now, content); }, message);
+        }
+        advance(now);
+    }
+}
+
+void FleetTask::waitForInput()
+{
+    std::array<pollfd, 2> descriptors{pollfd{socket_.descriptor(), POLLIN, 0}, pollfd{wakeUp_.descriptor(), POLLIN, 0}};
+    ::poll(descriptors.data(), descriptors.size(), static_cast<int>(MaxWait.count()));
+    wakeUp_.clear();
+}
+
+void FleetTask::receiveDatagrams(TimePoint now)
+{
+    for (int i = 0; i < MaxDatagramsPerTurn; ++i) {
+        const auto datagram = socket_.receive();
+        if (!datagram) {
+            return;
+        }
+        metrics_.increment("lentillock_gossip_received_bytes_total", {}, datagram->data.size());
+        const auto message = decodeGossip(datagram->data);
+        if (!message) {
+            metrics_.increment("lentillock_gossip_malformed_total");
+            continue;
+        }
+        send(membership_.receive(now, datagram->source, *message));
+    }
+}
+
+void FleetTask::send(const std::vector<SendGossip> &sends)
+{
+    for (const SendGossip &action : sends) {
+        const std::string data = encodeGossip(action.message);
+        metrics_.increment("lentillock_gossip_sent_bytes_total", {}, data.size());
+        metrics_.increment("lentillock_gossip_sent_messages_total");
+        socket_.send(action.address, data);
+    }
+}
+
+void FleetTask::advance(TimePoint now)
+{
+    send(membership_.advance(now));
+    exchangeRumors();
+    pollEndpoints(now);
+    applyFleetChange();
+    updateReady();
+    perform(reclaimer_.advance(now));
+    publishIfDue(now);
+}
+
+void FleetTask::exchangeRumors()
+{
+    for (const EndpointRumor &rumor : membership_.takeRumors()) {
+        tracker_.applyRumor(rumor);
+    }
+    for (const EndpointRumor &rumor : tracker_.takeRumors()) {
+        metrics_.increment("lentillock_endpoint_changes_total", {{"health", healthName(rumor.health)}});
+        Log::write(Log::Level::Info, "endpoint-changed", {{"endpoint", rumor.endpoint.value()}, {"health", healthName(rumor.health)}});
+        membership_.addRumor(rumor);
+    }
+}
+
+void FleetTask::pollEndpoints(TimePoint now)
+{
+    for (const EndpointId &endpoint : tracker_.takeUrgentPolls()) {
+        missed_.insert(endpoint);
+        poll(endpoint);
+    }
+    if (now < nextPoll_) {
+        return;
+    }
+    nextPoll_ = now + settings_.pollInterval;
+    for (const EndpointId &endpoint : observed_) {
+        poll(endpoint);
+    }
+}
+
+void FleetTask::poll(const EndpointId &endpoint)
+{
+    if (!polling_.insert(endpoint).second) {
+        return;
+    }
+    const bool fresh = missed_.erase(endpoint) > 0;
+    observer_.fetchLoad(addresses_.at(endpoint), fresh, [this, endpoint](const std::optional<LoadReport> &load) { post(EndpointPolled{endpoint, load}); });
+}
+
+void FleetTask::applyFleetChange()
+{
+    if (fleetRevision_ == membership_.revision()) {
+        return;
+    }
+    fleetRevision_ = membership_.revision();
+    reclaimer_.setFleet(engines_, membership_.liveVms());
+    reclaimer_.setEntries(entryProcesses(membership_.members()));
+}
+
+void FleetTask::updateReady()
+{
+    membership_.setReady(config_->caughtUp && config_->version >= membership_.highestConfigVersion());
+}
+
+void FleetTask::publishIfDue(TimePoint now)
+{
+    const bool changed = publishedMembers_ != membership_.revision() || publishedEndpoints_ != tracker_.revision();
+    if (now >= lastPublish_ + HeartbeatInterval || (changed && now >= lastPublish_ + PublishDelay)) {
+        publish(now);
+    }
+}
+
+void FleetTask::publish(TimePoint now)
+{
+    lastPublish_ = now;
+    publishedMembers_ = membership_.revision();
+    publishedEndpoints_ = tracker_.revision();
+    auto snapshot = std::make_shared<FleetSnapshot>();
+    snapshot->sequence = ++sequence_;
+    snapshot->endpoints = tracker_.states();
+    snapshot->members = membership_.members();
+    snapshot->liveVms = membership_.liveVms();
+    snapshot->self = membership_.self();
+    snapshot->refutations = membership_.refutations();
+    snapshot->reclaimedEngines = reclaimer_.responsibleFor();
+    snapshot->reclaimed = reclaimer_.releases();
+    metrics_.setGauge("lentillock_members_live", static_cast<double>(snapshot->liveVms.size()));
+    metrics_.setGauge("lentillock_endpoints_observed", static_cast<double>(snapshot->endpoints.size()));
+    metrics_.setGauge("lentillock_reclaimer_engines", static_cast<double>(snapshot->reclaimedEngines));
+    publish_(snapshot);
+}
+
+void FleetTask::handle(TimePoint now, const EndpointPolled &message)
+{
+    polling_.erase(message.endpoint);
+    metrics_.increment("lentillock_polls_total", {{"result", message.load ? "answered" : "missed"}});
+    if (message.load) {
+        tracker_.pollSucceeded(now, message.endpoint, *message.load);
+    } else {
+        missed_.insert(message.endpoint);
+        tracker_.pollFailed(now, message.endpoint);
+    }
+}
+
+void FleetTask::handle(TimePoint /*now*/, const VmsListed &message)
+{
+    tracker_.applyVmList(message.vms);
+    std::vector<std::string> seeds = settings_.seeds;
+    for (const VmListEntry &vm : message.vms) {
+        if (vm.role == VmRole::Entry && std::ranges::find(seeds, vm.address) == seeds.end()) {
+            seeds.push_back(vm.address);
+        }
+    }
+    membership_.setSeeds(seeds);
+}
+
+void FleetTask::handle(TimePoint now, const ConfigLoaded &message)
+{
+    config_ = message.state;
+    membership_.setConfigVersion(config_->version);
+    addresses_.clear();
+    engines_.clear();
+    observed_.clear();
+    for (const Endpoint &endpoint : config_->document->endpoints) {
+        addresses_[endpoint.id] = endpoint.address;
+        if (endpoint.kind == EndpointKind::Engine) {
+            engines_.push_back(endpoint.id);
+        }
+    }
+    const std::vector<Endpoint> subset = endpointSubset(settings_.vm, config_->document->endpoints);
+    for (const Endpoint &endpoint : subset) {
+        observed_.push_back(endpoint.id);
+    }
+    tracker_.setEndpoints(now, subset);
+    reclaimer_.setFleet(engines_, membership_.liveVms());
+}
+
+void FleetTask::handle(TimePoint /*now*/, const FaultReported &message)
+{
+    metrics_.increment("lentillock_endpoint_reports_total");
+    tracker_.report(message.endpoint, message.fault, message.generation);
+}
+
+void FleetTask::handle(TimePoint /*now*/, const EntryConnected &message)
+{
+    membership_.setEntry(message.address, message.incarnation);
+}
+
+void FleetTask::handle(TimePoint /*now*/, const AllocationsListed &message)
+{
+    std::vector<ListedAllocation> allocations;
+    const WallTime now = currentWallTime();
+    for (const AllocationRecord &record : message.allocations) {
+        allocations.push_back({record.id, record.owner, record.deadline - now});
+    }
+    perform(reclaimer_.listed(message.endpoint, allocations));
+}
+
+void FleetTask::handle(TimePoint /*now*/, const OwnerAnswered &message)
+{
+    perform(reclaimer_.ownerAnswered(message.answer));
+}
+
+void FleetTask::handle(TimePoint now, const LeaveRequested & /*message*/)
+{
+    send(membership_.leave());
+    publish(now);
+}
+
+void FleetTask::perform(const std::vector<ReclaimAction> &actions)
+{
+    for (const ReclaimAction &action : actions) {
+        std::visit([this](const auto &content) { performAction(content); }, action);
+    }
+}
+
+void FleetTask::performAction(const ListAllocations &action)
+{
+    observer_.listAllocations(addresses_.at(action.endpoint), [this, endpoint = action.endpoint](const auto &allocations) {
+        if (allocations) {
+            post(AllocationsListed{endpoint, *allocations});
+        }
+    });
+}
+
+void FleetTask::performAction(const ReclaimAllocation &action)
+{
+    const auto address = addresses_.find(action.endpoint);
+    if (address == addresses_.end()) {
+        return;
+    }
+    metrics_.increment("lentillock_reclaimed_allocations_total");
+    Log::write(Log::Level::Info, "allocation-reclaimed", {{"endpoint", action.endpoint.value()}, {"allocation", action.allocation.value()}});
+    observer_.releaseAllocation(address->second, action.allocation);
+}
+
+void FleetTask::performAction(const AskOwner &action)
+{
+    peers_.askActive(action.address, action.requests, OwnerTimeout, [this](const std::optional<OwnerAnswer> &answer) {
+        if (answer) {
+            post(OwnerAnswered{*answer});
+        }
+    });
+}
+
+}
--- a/src/control/gossipcodec.cpp
+++ b/src/control/gossipcodec.cpp
@@ -5,6 +5,8 @@
 namespace Lentillock
 {
 
+namespace rpc = ::lentillock::rpc;
+
 namespace
 {
 
--- a/src/control/memoryreclaimer.cpp
+++ b/src/control/memoryreclaimer.cpp
@@ -116,7 +116,7 @@
 ReclaimAction MemoryReclaimer::release(const EndpointId &endpoint, const AllocationId &allocation)
 {
     ++releases_;
-    return ReleaseAllocation{endpoint, allocation};
+    return ReclaimAllocation{endpoint, allocation};
 }
 
 const EntryProcess *MemoryReclaimer::entryOf(const VmId &vm) const
--- a/src/control/memoryreclaimer.h
+++ b/src/control/memoryreclaimer.h
@@ -52,11 +52,11 @@
     auto operator<=>(const ListAllocations &) const = default;
 };
 
-struct ReleaseAllocation {
+struct ReclaimAllocation {
     EndpointId endpoint;
     AllocationId allocation;
 
-    auto operator<=>(const ReleaseAllocation &) const = default;
+    auto operator<=>(const ReclaimAllocation &) const = default;
 };
 
 /// Ask the entry process at @p address whether the requests are active and report its reply with ownerAnswered().
@@ -68,7 +68,7 @@
     auto operator<=>(const AskOwner &) const = default;
 };
 
-using ReclaimAction = std::variant<ListAllocations, ReleaseAllocation, AskOwner>;
+using ReclaimAction = std::variant<ListAllocations, ReclaimAllocation, AskOwner>;
 
 /// Answer of an entry process to AskOwner.
 struct OwnerAnswer {
--- /dev/null
+++ b/src/control/vmlisttask.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "base/time.h"
+#include "platform/vmlist.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// Task that reads the platform's VM list again and again. A read that fails is counted and leaves the last list in force.
+class VmListTask
+{
+public:
+    using Callback = std::function<void(std::vector<VmListEntry>)>;
+
+    VmListTask(std::unique_ptr<VmList> list, milliseconds interval, Metrics &metrics, Callback callback);
+    VmListTask(const VmListTask &) = delete;
+    VmListTask &operator=(const VmListTask &) = delete;
+    ~VmListTask();
+
+private:
+    void run();
+    void fetchOnce();
+
+    std::unique_ptr<VmList> list_;
+    milliseconds interval_;
+    Metrics &metrics_;
+    Callback callback_;
+    std::mutex mutex_;
+    std::condition_variable stop_;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+}
--- a/src/membership/endpointtracker.cpp
+++ b/src/membership/endpointtracker.cpp
@@ -97,13 +97,13 @@
     }
 }
 
-void EndpointTracker::report(const EndpointId &id, EndpointEvent event, const std::string &generation)
+void EndpointTracker::report(const EndpointId &id, ReportedFault event, const std::string &generation)
 {
     const auto entry = endpoints_.find(id);
     if (entry == endpoints_.end() || (!generation.empty() && !entry->second.generation.empty() && generation != entry->second.generation)) {
         return;
     }
-    if (event == EndpointEvent::Draining) {
+    if (event == ReportedFault::Draining) {
         markLeaving(entry->second, generation.empty() ? entry->second.generation : generation);
         settle(entry->second);
     } else {
--- a/src/membership/endpointtracker.h
+++ b/src/membership/endpointtracker.h
@@ -16,7 +16,7 @@
 {
 
 /// What an entry process saw at an endpoint.
-enum class EndpointEvent {
+enum class ReportedFault {
     ConnectFailed,
     Silent,
     Draining,
@@ -41,7 +41,7 @@
     void applyRumor(const EndpointRumor &rumor);
 
     /// @p generation is the one that the entry dispatched to; empty if it does not know.
-    void report(const EndpointId &id, EndpointEvent event, const std::string &generation);
+    void report(const EndpointId &id, ReportedFault event, const std::string &generation);
 
     [[nodiscard]] std::vector<EndpointState> states() const;
     [[nodiscard]] const EndpointState *find(const EndpointId &id) const;
--- /dev/null
+++ b/src/platform/endpointobserver.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+#include "dispatch/servingview.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// An allocation of engine memory as the engine lists it.
+struct AllocationRecord {
+    AllocationId id;
+    std::string owner;
+    WallTime deadline; ///< Of the request that owns it, in the owner's wall-clock time.
+
+    bool operator==(const AllocationRecord &) const = default;
+};
+
+/// Polls endpoints and releases their memory over HTTP. One task serves all requests at the same time; callbacks run on it.
+class EndpointObserver
+{
+public:
+    /// Nothing if the endpoint did not answer in time or not as agreed.
+    using LoadCallback = std::function<void(const std::optional<LoadReport> &load)>;
+    using AllocationsCallback = std::function<void(const std::optional<std::vector<AllocationRecord>> &allocations)>;
+
+    explicit EndpointObserver(milliseconds timeout);
+    EndpointObserver(const EndpointObserver &) = delete;
+    EndpointObserver &operator=(const EndpointObserver &) = delete;
+    /// Ends running requests without calling back.
+    ~EndpointObserver();
+
+    /// @p freshConnection avoids a reused connection that may have gone silent.
+    void fetchLoad(const std::string &address, bool freshConnection, LoadCallback callback);
+    void listAllocations(const std::string &address, AllocationsCallback callback);
+
+    /// A lost request is repeated by the caller's next listing.
+    void releaseAllocation(const std::string &address, const AllocationId &allocation);
+
+    /// Bytes received from endpoints so far, without headers.
+    [[nodiscard]] std::uint64_t receivedBytes() const;
+
+private:
+    class Task;
+    std::unique_ptr<Task> task_;
+};
+
+}
