--- /dev/null
+++ b/src/control/controlsettings.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/findings.h"
+#include "base/identifier.h"
+#include "base/time.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// Settings of lentillock-control. docs/manual/lentillock-control.md describes each.
+struct ControlSettings {
+    VmId vm;
+    ZoneId zone;
+    std::string grpc;
+    std::string gossip;
+    std::string operators;
+    std::vector<std::string> seeds;
+    std::string log;
+    std::string vmList; ///< Empty if the platform has none.
+    milliseconds pollInterval{0};
+    milliseconds pollTimeout{0};
+    milliseconds vmListInterval{0};
+    std::int64_t claimShards = 0;
+    milliseconds drainDelay{0};
+
+    bool operator==(const ControlSettings &) const = default;
+};
+
+/// A setting with a number, for readers and for the help text.
+struct NumberSetting {
+    const char *name;
+    const char *unit;
+    std::int64_t defaultValue;
+    std::int64_t minimum;
+    std::int64_t maximum;
+    const char *description;
+};
+
+/// A setting with a text or a list of texts.
+struct TextSetting {
+    const char *name;
+    bool required;
+    const char *description;
+};
+
+const std::vector<NumberSetting> &controlNumberSettings();
+const std::vector<TextSetting> &controlTextSettings();
+
+/// Reads JSON settings; returns nothing and adds findings if they are not valid.
+std::optional<ControlSettings> readControlSettings(std::string_view text, const std::string &source, Findings &findings);
+
+}
--- /dev/null
+++ b/src/control/memoryreclaimer.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "base/identifier.h"
+#include "base/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// Owner tag of an allocation: "VM/INCARNATION/REQUEST", where the incarnation is that of the VM's entry process.
+struct AllocationOwner {
+    VmId vm;
+    std::uint64_t incarnation = 0;
+    RequestId request;
+
+    auto operator<=>(const AllocationOwner &) const = default;
+
+    /// Nothing if @p tag does not have the format. The request part may contain slashes.
+    static std::optional<AllocationOwner> parse(std::string_view tag);
+};
+
+/// An allocation as an engine lists it.
+struct ListedAllocation {
+    AllocationId id;
+    std::string owner;
+    milliseconds remaining{0}; ///< Time until the request's deadline; negative after it.
+
+    auto operator<=>(const ListedAllocation &) const = default;
+};
+
+/// The entry process of a VM, as membership knows it.
+struct EntryProcess {
+    VmId vm;
+    std::string address;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const EntryProcess &) const = default;
+};
+
+/// Ask the engine for its allocations and report them with listed().
+struct ListAllocations {
+    EndpointId endpoint;
+
+    auto operator<=>(const ListAllocations &) const = default;
+};
+
+struct ReclaimAllocation {
+    EndpointId endpoint;
+    AllocationId allocation;
+
+    auto operator<=>(const ReclaimAllocation &) const = default;
+};
+
+/// Ask the entry process at @p address whether the requests are active and report its reply with ownerAnswered().
+struct AskOwner {
+    VmId vm;
+    std::string address;
+    std::vector<RequestId> requests;
+
+    auto operator<=>(const AskOwner &) const = default;
+};
+
+using ReclaimAction = std::variant<ListAllocations, ReclaimAllocation, AskOwner>;
+
+/// Answer of an entry process to AskOwner.
+struct OwnerAnswer {
+    VmId vm; ///< Of the process that answered; another VM may have taken over the address.
+    std::uint64_t incarnation = 0;
+    std::vector<RequestId> inactive;
+
+    auto operator<=>(const OwnerAnswer &) const = default;
+};
+
+/// Finds allocations whose owners are certainly dead and releases them.
+///
+/// Releasing is idempotent, so two VMs may be responsible for one endpoint at the same time. That an owner does not answer is no reason for a release.
+class MemoryReclaimer
+{
+public:
+    static constexpr milliseconds ListInterval{2000};
+    /// Time after the deadline at which an allocation is released without asking.
+    static constexpr milliseconds DeadlineGrace{5000};
+    /// VMs responsible for one endpoint. With two, one can die without a pause until its death is noticed.
+    static constexpr std::size_t ResponsibleVms = 2;
+
+    explicit MemoryReclaimer(VmId self);
+
+    /// Sets the engines of the fleet and the live VMs, from which the responsible ones are chosen.
+    void setFleet(const std::vector<EndpointId> &engines, const std::vector<VmId> &liveVms);
+    void setEntries(const std::vector<EntryProcess> &entries);
+
+    std::vector<ReclaimAction> advance(TimePoint now);
+    std::vector<ReclaimAction> listed(const EndpointId &endpoint, const std::vector<ListedAllocation> &allocations);
+    std::vector<ReclaimAction> ownerAnswered(const OwnerAnswer &answer);
+
+    [[nodiscard]] std::size_t responsibleFor() const;
+    [[nodiscard]] std::uint64_t releases() const;
+
+private:
+    struct Held {
+        AllocationId id;
+        AllocationOwner owner;
+    };
+
+    [[nodiscard]] const EntryProcess *entryOf(const VmId &vm) const;
+    ReclaimAction release(const EndpointId &endpoint, const AllocationId &allocation);
+
+    VmId self_;
+    std::vector<EntryProcess> entries_;
+    std::map<EndpointId, std::vector<Held>> engines_; ///< Engines this VM is responsible for, with the allocations to ask about.
+    std::optional<TimePoint> nextList_;
+    std::uint64_t releases_ = 0;
+};
+
+}
