--- a/src/claims/claimledger.cpp
+++ b/src/claims/claimledger.cpp
@@ -163,12 +163,12 @@
 bool ClaimLedger::covers(const IdempotencyKey &key) const
 {
     // A key can be claimed before its own creation time by MaxFutureSkew, if the caller's clock runs ahead.
-    return start_ == 0 || (startTime_ && key.time() - MaxFutureSkew >= *startTime_);
+    return start_ <= FirstOffset || (startTime_ && key.time() - MaxFutureSkew >= *startTime_);
 }
 
 bool ClaimLedger::isDated() const
 {
-    return start_ == 0 || startTime_.has_value();
+    return start_ <= FirstOffset || startTime_.has_value();
 }
 
 bool ClaimLedger::acceptsAge(const IdempotencyKey &key, WallTime time)
--- a/src/claims/claimledger.h
+++ b/src/claims/claimledger.h
@@ -41,7 +41,10 @@
     /// How far a key's creation time may lie in the future; bounds the error of callers' clocks.
     static constexpr milliseconds MaxFutureSkew{std::chrono::seconds(60)};
 
-    /// Discards all state and starts at @p offset. Records before it are unknown to the fold, unless it is 0.
+    /// The log numbers the records of a stream from 1.
+    static constexpr std::uint64_t FirstOffset = 1;
+
+    /// Discards all state and starts at @p offset. Records before it are unknown to the fold.
     void restart(std::uint64_t offset);
 
     /// Applies a record. Records below nextOffset() have been applied already and are skipped.
@@ -104,8 +107,8 @@
     std::unordered_map<Name, Entry, NameHash> entries_;
     std::map<std::int64_t, std::vector<Name>> byCreation_; ///< Keys by the second in which they were created, for pruning.
     std::map<std::string, std::uint32_t, std::less<>> workspaces_; ///< Short numbers for workspaces, local to this fold.
-    std::uint64_t start_ = 0;
-    std::uint64_t next_ = 0;
+    std::uint64_t start_ = FirstOffset;
+    std::uint64_t next_ = FirstOffset;
     std::optional<WallTime> startTime_;
     WallTime lastTime_;
     std::uint64_t malformed_ = 0;
--- a/src/control/claimshardtask.cpp
+++ b/src/control/claimshardtask.cpp
@@ -205,7 +205,7 @@
 
 void ClaimShardTask::runReader(LogService &log)
 {
-    std::uint64_t next = 0;
+    std::uint64_t next = ClaimLedger::FirstOffset;
     while (!stopping_) {
         if (!readOnce(log, next)) {
             metrics_.increment("lentillock_claim_read_errors_total");
--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -52,9 +52,7 @@
     explicit Parts(const ControlSettings &processSettings)
         : settings(processSettings)
         , claims(
-              processSettings,
-              [url = processSettings.log]() -> std::unique_ptr<LogService> { return std::make_unique<HttpLogService>(url); },
-              metrics)
+              processSettings, [url = processSettings.log]() -> std::unique_ptr<LogService> { return std::make_unique<HttpLogService>(url); }, metrics)
         , fleet(std::make_shared<FleetSnapshot>())
         , config(std::make_shared<ConfigState>())
     {
@@ -100,6 +98,8 @@
         const std::lock_guard lock(fleetTaskMutex);
         if (fleetTask != nullptr) {
             fleetTask->post(std::move(message));
+        } else {
+            earlyMessages.push_back(std::move(message));
         }
     }
 
@@ -141,6 +141,7 @@
     Metrics metrics;
     mutable std::mutex mutex;
     std::mutex fleetTaskMutex;
+    std::vector<FleetMessage> earlyMessages;
     ClaimRouter claims;
     FleetSnapshotPtr fleet;
     ConfigStatePtr config;
@@ -167,17 +168,19 @@
 {
     {
         const std::lock_guard lock(fleetTaskMutex);
-        fleetTask = std::make_unique<FleetTask>(settings, ownMember(settings, addresses), std::move(socket), metrics, [this](const FleetSnapshotPtr &snapshot) {
-            setFleet(snapshot);
-        });
+        fleetTask = std::make_unique<FleetTask>(
+            settings, ownMember(settings, addresses), std::move(socket), metrics, [this](const FleetSnapshotPtr &snapshot) { setFleet(snapshot); });
+        for (FleetMessage &message : earlyMessages) {
+            fleetTask->post(std::move(message));
+        }
     }
     configTask = std::make_unique<ConfigTask>(
         std::make_unique<HttpLogService>(settings.log), metrics, [this] { return peerAddresses(); }, [this](const ConfigStatePtr &state) { setConfig(state); });
     if (!settings.vmList.empty()) {
-        vmListTask = std::make_unique<VmListTask>(
-            std::make_unique<HttpVmList>(settings.vmList, VmListTimeout), settings.vmListInterval, metrics, [this](std::vector<VmListEntry> vms) {
-                fleetTask->post(VmsListed{std::move(vms)});
-            });
+        vmListTask = std::make_unique<VmListTask>(std::make_unique<HttpVmList>(settings.vmList, VmListTimeout),
+                                                  settings.vmListInterval,
+                                                  metrics,
+                                                  [this](std::vector<VmListEntry> vms) { fleetTask->post(VmsListed{std::move(vms)}); });
     }
     return {};
 }
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -32,8 +32,11 @@
     if (!key || request.attempt().empty() || request.workspace().empty()) {
         return std::nullopt;
     }
-    return ClaimQuestion{
-        0, WorkspaceId(request.workspace()), *key, AttemptId(request.attempt()), currentTime() + milliseconds(static_cast<std::int64_t>(request.remaining_ms()))};
+    return ClaimQuestion{0,
+                         WorkspaceId(request.workspace()),
+                         *key,
+                         AttemptId(request.attempt()),
+                         currentTime() + milliseconds(static_cast<std::int64_t>(request.remaining_ms()))};
 }
 
 template<typename Request>
--- a/src/control/controlsettings.cpp
+++ b/src/control/controlsettings.cpp
@@ -78,19 +78,19 @@
 
 const std::vector<NumberSetting> &controlNumberSettings()
 {
-    static const std::vector<NumberSetting> settings{
+    static const std::vector<NumberSetting> Settings{
         {"pollIntervalMs", "ms", 500, 50, 10000, "time between two polls of an endpoint"},
         {"pollTimeoutMs", "ms", 1000, 50, 10000, "time after which a poll counts as missed"},
         {"vmListIntervalMs", "ms", 1000, 100, 60000, "time between two reads of the VM list"},
         {"claimShards", "shards", 16, 1, 100, "number of claim streams; must be equal on all VMs and never change while keys are remembered"},
         {"drainDelayMs", "ms", 1000, 0, 60000, "time between the announcement of leaving and the end of the process"},
     };
-    return settings;
+    return Settings;
 }
 
 const std::vector<TextSetting> &controlTextSettings()
 {
-    static const std::vector<TextSetting> settings{
+    static const std::vector<TextSetting> Settings{
         {"vm", true, "identifier of this VM; no slash"},
         {"zone", true, "availability zone of this VM; no slash"},
         {"grpc", true, "address of the gRPC server, IP:PORT"},
@@ -100,7 +100,7 @@
         {"log", true, "URL of the platform's log service"},
         {"vmList", false, "URL of the platform's VM list"},
     };
-    return settings;
+    return Settings;
 }
 
 std::optional<ControlSettings> readControlSettings(std::string_view text, const std::string &source, Findings &findings)
--- a/src/control/fleettask.h
+++ b/src/control/fleettask.h
@@ -61,8 +61,7 @@
 struct LeaveRequested {
 };
 
-using FleetMessage
-    = std::variant<EndpointPolled, VmsListed, ConfigLoaded, FaultReported, EntryConnected, AllocationsListed, OwnerAnswered, LeaveRequested>;
+using FleetMessage = std::variant<EndpointPolled, VmsListed, ConfigLoaded, FaultReported, EntryConnected, AllocationsListed, OwnerAnswered, LeaveRequested>;
 
 /// Task that owns the gossip socket, membership, the endpoint states and the memory reclaimer.
 class FleetTask
--- a/src/control/memoryreclaimer.cpp
+++ b/src/control/memoryreclaimer.cpp
@@ -97,8 +97,9 @@
 std::vector<ReclaimAction> MemoryReclaimer::ownerAnswered(const OwnerAnswer &answer)
 {
     std::vector<ReclaimAction> actions;
-    for (auto &[engine, held] : engines_) {
-        std::erase_if(held, [&](const Held &allocation) {
+    for (auto &entry : engines_) {
+        const EndpointId &engine = entry.first;
+        std::erase_if(entry.second, [&](const Held &allocation) {
             if (allocation.owner.vm != answer.vm || answer.incarnation < allocation.owner.incarnation) {
                 return false;
             }
--- a/src/control/vmlisttask.cpp
+++ b/src/control/vmlisttask.cpp
@@ -46,7 +46,9 @@
             callback_(std::move(vms));
             return {};
         },
-        [this] { metrics_.increment("lentillock_vm_list_reads_total", {{"result", "failed"}}); });
+        [this] {
+            metrics_.increment("lentillock_vm_list_reads_total", {{"result", "failed"}});
+        });
 }
 
 }
--- a/src/platform/endpointobserver.cpp
+++ b/src/platform/endpointobserver.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t MaxBody = 4UL * 1024 * 1024;
 /// Idle connections that are kept; at the design size a control process observes up to 300 endpoints per model.
 constexpr long MaxConnections = 512;
+constexpr int MaxWaitMs = 1000;
 
 struct Transfer {
     std::string url;
@@ -83,9 +84,8 @@
     for (const boost::json::value &element : list->get_array()) {
         Findings problems;
         JsonReader reader(element, "allocations", "", problems);
-        AllocationRecord record{AllocationId(reader.requiredString("id")),
-                                reader.string("owner", ""),
-                                WallTime(milliseconds(reader.requiredInteger("deadlineMs", 0, MaxInteger)))};
+        AllocationRecord record{
+            AllocationId(reader.requiredString("id")), reader.string("owner", ""), WallTime(milliseconds(reader.requiredInteger("deadlineMs", 0, MaxInteger)))};
         // An entry that cannot be understood is left alone; the others are still reclaimed.
         if (!problems.hasErrors()) {
             allocations.push_back(std::move(record));
@@ -139,7 +139,6 @@
 private:
     void run()
     {
-        constexpr int MaxWaitMs = 1000;
         while (!stopping_) {
             for (Transfer &transfer : queue_.takeAll()) {
                 begin(std::move(transfer));
--- a/tests/fakes/fakelog.h
+++ b/tests/fakes/fakelog.h
@@ -57,7 +57,7 @@
 private:
     struct Stream {
         std::vector<LogRecord> records;
-        std::uint64_t earliest = 0;
+        std::uint64_t earliest = 1;
     };
 
     std::uint64_t next(const std::string &stream)
