Stand-ins: Start waiting requests when memory is released on an idle engine

Cause: an engine whose queue waited for memory became idle and stayed so until the next request arrived, because release and cancel did not begin a step. Change: cancel and release admit waiting requests when nothing runs. RoutingPolicy gets observation hooks with empty defaults (attempt started, finished, endpoint failed) for policies that learn.

--- a/src/routing/routingpolicy.cpp
+++ b/src/routing/routingpolicy.cpp
@@ -5,6 +5,18 @@
 namespace Lentillock
 {
 
+void RoutingPolicy::attemptStarted(TimePoint /*now*/, const RouteRequest & /*request*/, const EndpointId & /*endpoint*/)
+{
+}
+
+void RoutingPolicy::attemptFinished(TimePoint /*now*/, const AttemptObservation & /*observation*/)
+{
+}
+
+void RoutingPolicy::endpointFailed(TimePoint /*now*/, const EndpointId & /*endpoint*/)
+{
+}
+
 std::optional<RouteChoice>
 LeastOutstandingPolicy::choose(TimePoint /*now*/, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const
 {
--- a/src/routing/routingpolicy.h
+++ b/src/routing/routingpolicy.h
@@ -29,6 +29,17 @@
     Duration expectedTotal = Duration::zero();
 };
 
+/// How an attempt went, for policies that learn.
+struct AttemptObservation {
+    EndpointId endpoint;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t generatedTokens = 0;
+    std::uint64_t prefillTokensAhead = 0; ///< Prompt tokens that this entry had waiting on the endpoint when the attempt began.
+    Duration firstToken = Duration::zero(); ///< From the start of the attempt.
+    Duration total = Duration::zero(); ///< From the start of the attempt.
+};
+
 /// Picks an endpoint for a request.
 class RoutingPolicy
 {
@@ -41,6 +52,13 @@
     /// Returns nothing when no candidate can take the request. @p random breaks ties.
     [[nodiscard]] virtual std::optional<RouteChoice>
     choose(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const = 0;
+
+    /// An attempt for @p request has been started on @p endpoint.
+    virtual void attemptStarted(TimePoint now, const RouteRequest &request, const EndpointId &endpoint);
+    /// The answer is whole.
+    virtual void attemptFinished(TimePoint now, const AttemptObservation &observation);
+    /// The endpoint refused the connection, broke it or went silent.
+    virtual void endpointFailed(TimePoint now, const EndpointId &endpoint);
 };
 
 /// Baseline: the endpoint with the fewest requests in flight from this entry.
--- a/tests/standins/engine/enginemodel.cpp
+++ b/tests/standins/engine/enginemodel.cpp
@@ -30,9 +30,7 @@
     work.position = request.firstPosition;
     const auto behind = std::find_if(queue_.begin(), queue_.end(), [&work](const Work *other) { return other->request.priority < work.request.priority; });
     queue_.insert(behind, &work);
-    if (!stepEnd_) {
-        beginStep(now);
-    }
+    startIfIdle(now);
     recordLoad(now);
     return true;
 }
@@ -48,6 +46,7 @@
     std::erase(batch_, &found->second);
     freeTokens_ += found->second.heldTokens;
     works_.erase(found);
+    startIfIdle(now);
     recordLoad(now);
     return true;
 }
@@ -111,6 +110,7 @@
     }
     freeTokens_ += found->second.tokens;
     allocations_.erase(found);
+    startIfIdle(now);
     recordLoad(now);
     return true;
 }
@@ -165,6 +165,13 @@
     return settings_;
 }
 
+void EngineModel::startIfIdle(TimePoint now)
+{
+    if (!stepEnd_) {
+        beginStep(now);
+    }
+}
+
 void EngineModel::beginStep(TimePoint now)
 {
     admitQueued();
--- a/tests/standins/engine/enginemodel.h
+++ b/tests/standins/engine/enginemodel.h
@@ -139,6 +139,8 @@
         std::uint64_t position = 0;
     };
 
+    /// Admits waiting requests when nothing runs, for example after memory has been released.
+    void startIfIdle(TimePoint now);
     void beginStep(TimePoint now);
     void endStep();
     void admitQueued();
