--- /dev/null
+++ b/tests/bench/baselines.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "routing/routingpolicy.h"
+
+namespace Lentillock
+{
+
+/// Baseline: the candidates in turn.
+class RoundRobinPolicy : public RoutingPolicy
+{
+public:
+    [[nodiscard]] std::optional<RouteChoice>
+    choose(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const override;
+
+private:
+    mutable std::size_t next_ = 0;
+};
+
+/// Baseline: requests with the same first prompt block go to the same endpoint.
+class PrefixAffinityPolicy : public RoutingPolicy
+{
+public:
+    [[nodiscard]] std::optional<RouteChoice>
+    choose(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const override;
+};
+
+}
--- /dev/null
+++ b/tests/bench/benchentry.cpp
@@ -0,0 +1,258 @@
+#include "bench/benchentry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lentillock
+{
+
+BenchEntry::BenchEntry(
+    EventQueue &events, SimulatedFleet &fleet, ZoneId zone, std::unique_ptr<RoutingPolicy> policy, std::uint64_t seed, ResultHandler onResult)
+    : events_(events)
+    , fleet_(fleet)
+    , zone_(std::move(zone))
+    , policy_(std::move(policy))
+    , random_(seed)
+    , onResult_(std::move(onResult))
+    , queue_(MaxQueueLength)
+{
+    state_.setView(fleet_.currentView());
+}
+
+void BenchEntry::poll()
+{
+    state_.setView(fleet_.currentView());
+    tryQueue();
+}
+
+void BenchEntry::arrive(const BenchRequest &request)
+{
+    Active active;
+    active.request = request;
+    active.arrival = events_.now();
+    active.route.workspace = WorkspaceId("ws-" + std::to_string(request.workspace));
+    active.route.promptTokens = request.promptTokens;
+    active.route.maxTokens = request.maxTokens;
+    active.route.prefixBlocks = request.prefixBlocks;
+    active.route.zone = zone_;
+    active.route.deadline = active.arrival + request.timeout;
+    const QueueEntry entry{RequestId(request.id), active.route.workspace, 0, request.promptTokens, active.arrival, active.route.deadline};
+    active_[request.id] = std::move(active);
+    if (!queue_.push(entry)) {
+        finish(request.id, BenchOutcome::Refused);
+        return;
+    }
+    events_.after(request.timeout, [this, id = request.id] { expire(id); });
+    tryQueue();
+}
+
+void BenchEntry::tryQueue()
+{
+    for (const RequestId &id : queue_.order(events_.now())) {
+        const auto found = active_.find(id.value());
+        if (found != active_.end() && place(id.value(), found->second)) {
+            queue_.remove(id);
+            begin(id.value(), found->second);
+        }
+    }
+}
+
+bool BenchEntry::place(const std::string & /*id*/, Active &active)
+{
+    std::vector<Part> parts = choosePlaces(active);
+    if (parts.empty() || (parts.size() > 1 && !reserve(parts, active))) {
+        return false;
+    }
+    active.parts = std::move(parts);
+    return true;
+}
+
+std::vector<BenchEntry::Part> BenchEntry::choosePlaces(Active &active)
+{
+    const std::vector<FleetState::Candidate> candidates = state_.candidatesForModel(ModelId(active.request.deskModel ? "desk" : "reader"));
+    const std::uint64_t count = (active.request.promptTokens + MaxPartTokens - 1) / MaxPartTokens;
+    const std::uint64_t tokens = active.request.promptTokens / count;
+    RouteRequest route = active.route;
+    route.promptTokens = tokens;
+    std::vector<Part> parts;
+    std::vector<FleetState::Candidate> usable = candidates;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const auto choice = policy_->choose(events_.now(), route, usable, random_.bits());
+        if (!choice) {
+            return {};
+        }
+        parts.push_back({choice->endpoint, active.request.id + '/' + std::to_string(active.attempts) + '/' + std::to_string(i), tokens});
+        usable = sameZone(candidates, state_.endpoint(choice->endpoint)->zone, parts);
+    }
+    return parts;
+}
+
+std::vector<FleetState::Candidate>
+BenchEntry::sameZone(const std::vector<FleetState::Candidate> &candidates, const ZoneId &zone, const std::vector<Part> &used) const
+{
+    std::vector<FleetState::Candidate> result;
+    for (const FleetState::Candidate &candidate : candidates) {
+        const bool taken = std::any_of(used.begin(), used.end(), [&candidate](const Part &part) { return part.endpoint == candidate.endpoint->id; });
+        if (candidate.endpoint->zone == zone && !taken) {
+            result.push_back(candidate);
+        }
+    }
+    return result;
+}
+
+bool BenchEntry::reserve(const std::vector<Part> &parts, const Active &active)
+{
+    for (auto part = parts.begin(); part != parts.end(); ++part) {
+        if (!fleet_.allocate(part->endpoint, part->id, part->tokens + active.request.maxTokens)) {
+            std::for_each(parts.begin(), part, [this](const Part &earlier) { fleet_.release(earlier.endpoint, earlier.id); });
+            return false;
+        }
+    }
+    return true;
+}
+
+void BenchEntry::begin(const std::string &id, Active &active)
+{
+    ++active.attempts;
+    active.currentPart = 0;
+    active.started = events_.now();
+    active.prefillTokensAhead = state_.inFlight(active.parts.front().endpoint).prefillTokens;
+    for (const Part &part : active.parts) {
+        state_.attemptStarted(AttemptId(part.id), part.endpoint, part.tokens, active.request.maxTokens);
+    }
+    policy_->attemptStarted(events_.now(), active.route, active.parts.front().endpoint);
+    events_.after(fleet_.delay(zone_, active.parts.front().endpoint), [this, id, attempt = active.attempts] { submitPart(id, attempt); });
+}
+
+void BenchEntry::submitPart(const std::string &id, std::size_t attempt)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end() || found->second.attempts != attempt || found->second.parts.empty()) {
+        return;
+    }
+    Active &active = found->second;
+    const Part &part = active.parts[active.currentPart];
+    const bool last = active.currentPart + 1 == active.parts.size();
+    EngineRequest request;
+    request.id = part.id;
+    request.promptTokens = part.tokens;
+    request.maxTokens = last ? active.request.maxTokens : 0;
+    request.importedTokens = active.currentPart * part.tokens;
+    request.allocation = active.parts.size() > 1 ? part.id : "";
+    if (active.currentPart == 0) {
+        const std::size_t blocks = std::min<std::size_t>(active.request.prefixBlocks.size(), part.tokens / PrefixBlockTokens);
+        request.prefixBlocks.assign(active.request.prefixBlocks.begin(), active.request.prefixBlocks.begin() + static_cast<std::ptrdiff_t>(blocks));
+    }
+    const Duration delay = fleet_.delay(zone_, part.endpoint);
+    const auto onEvent
+        = [this, id, attempt, delay](const EngineEvent &event) { events_.after(delay, [this, id, attempt, event] { engineEvent(id, attempt, event); }); };
+    const bool accepted = fleet_.submit(part.endpoint, request, onEvent, [this, id, attempt] { lose(id, attempt); });
+    if (!accepted) {
+        events_.after(delay, [this, id, attempt] { lose(id, attempt); });
+    }
+}
+
+void BenchEntry::engineEvent(const std::string &id, std::size_t attempt, const EngineEvent &event)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end() || found->second.attempts != attempt || found->second.parts.empty()) {
+        return;
+    }
+    Active &active = found->second;
+    const bool last = active.currentPart + 1 == active.parts.size();
+    if (event.kind == EngineEvent::Kind::Finished) {
+        partFinished(id, active);
+        return;
+    }
+    const Part &part = active.parts[active.currentPart];
+    state_.firstTokenArrived(AttemptId(part.id));
+    if (active.currentPart == 0) {
+        active.cachedTokens = fleet_.cachedTokens(part.endpoint, part.id);
+    }
+    if (last && !active.firstToken) {
+        active.firstToken = events_.now() - active.arrival;
+    }
+}
+
+void BenchEntry::partFinished(const std::string &id, Active &active)
+{
+    if (active.currentPart + 1 < active.parts.size()) {
+        ++active.currentPart;
+        submitPart(id, active.attempts);
+        return;
+    }
+    if (active.parts.size() == 1) {
+        const TimePoint firstToken = active.arrival + *active.firstToken;
+        policy_->attemptFinished(events_.now(),
+                                 {active.parts.front().endpoint,
+                                  active.request.promptTokens,
+                                  active.cachedTokens,
+                                  active.request.maxTokens,
+                                  active.prefillTokensAhead,
+                                  firstToken - active.started,
+                                  events_.now() - active.started});
+    }
+    finish(id, BenchOutcome::Finished);
+    tryQueue();
+}
+
+void BenchEntry::lose(const std::string &id, std::size_t attempt)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end() || found->second.attempts != attempt || found->second.parts.empty()) {
+        return;
+    }
+    Active &active = found->second;
+    const EndpointId failed = active.parts[active.currentPart].endpoint;
+    policy_->endpointFailed(events_.now(), failed);
+    active.route.excluded.push_back(failed);
+    giveBack(active);
+    if (active.attempts >= MaxAttempts) {
+        finish(id, BenchOutcome::Failed);
+        return;
+    }
+    queue_.push({RequestId(id), active.route.workspace, 0, active.request.promptTokens, active.arrival, active.route.deadline});
+    events_.after(Duration::zero(), [this] { tryQueue(); });
+}
+
+void BenchEntry::giveBack(Active &active)
+{
+    for (const Part &part : active.parts) {
+        state_.attemptEnded(AttemptId(part.id));
+        fleet_.cancel(part.endpoint, part.id);
+        if (active.parts.size() > 1) {
+            fleet_.release(part.endpoint, part.id);
+        }
+    }
+    active.parts.clear();
+}
+
+void BenchEntry::expire(const std::string &id)
+{
+    if (active_.contains(id)) {
+        queue_.remove(RequestId(id));
+        finish(id, BenchOutcome::Late);
+    }
+}
+
+void BenchEntry::finish(const std::string &id, BenchOutcome outcome)
+{
+    const auto found = active_.find(id);
+    Active &active = found->second;
+    giveBack(active);
+    const BenchRequest &request = active.request;
+    const BenchResult result{request.id,
+                             request.workspace,
+                             request.band,
+                             request.promptTokens,
+                             request.maxTokens,
+                             request.deskModel,
+                             active.arrival,
+                             outcome,
+                             active.firstToken,
+                             events_.now() - active.arrival};
+    active_.erase(found);
+    onResult_(result);
+}
+
+}
--- /dev/null
+++ b/tests/bench/main.cpp
@@ -0,0 +1,137 @@
+#include "bench/baselines.h"
+#include "bench/benchreport.h"
+
+#include <boost/program_options.hpp>
+
+#include <atomic>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+namespace
+{
+
+using namespace Lentillock;
+namespace options = boost::program_options;
+
+template<typename Policy>
+BenchPolicy baseline(const std::string &name)
+{
+    return {name, {}, [](const ServingDocument &, std::uint64_t) { return std::make_unique<Policy>(); }};
+}
+
+std::vector<BenchPolicy> allPolicies()
+{
+    return {
+        baseline<RoundRobinPolicy>("round-robin"), baseline<LeastOutstandingPolicy>("least-outstanding"), baseline<PrefixAffinityPolicy>("prefix-affinity")};
+}
+
+std::vector<Situation> allSituations()
+{
+    return {
+        {"healthy-80", 0.8, 200ms, "", ""},
+        {"dead-endpoint", 0.8, 200ms, "reader-0", ""},
+        {"dead-zone", 0.8, 200ms, "", "zone-0"},
+        {"late-reports", 0.8, 2s, "", ""},
+        {"load-100", 1.0, 200ms, "", ""},
+        {"load-130", 1.3, 200ms, "", ""},
+    };
+}
+
+struct Job {
+    Situation situation;
+    WorkloadProfile profile;
+    BenchPolicy policy;
+};
+
+bool isWanted(const options::variables_map &values, const std::string &option, const std::string &name)
+{
+    return values.count(option) == 0 || name.find(values[option].as<std::string>()) != std::string::npos;
+}
+
+std::vector<Job> wantedJobs(const options::variables_map &values)
+{
+    std::vector<Job> jobs;
+    for (const WorkloadProfile &profile : {utilityProfile(), consortiumProfile()}) {
+        for (const Situation &situation : allSituations()) {
+            for (const BenchPolicy &policy : allPolicies()) {
+                if (isWanted(values, "profile", profile.name) && isWanted(values, "situation", situation.name) && isWanted(values, "policy", policy.name)) {
+                    jobs.push_back({situation, profile, policy});
+                }
+            }
+        }
+    }
+    return jobs;
+}
+
+std::vector<ReportRow> runAll(const std::vector<Job> &jobs, std::uint64_t seed, Duration length, unsigned threads)
+{
+    std::vector<ReportRow> rows(jobs.size());
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::jthread> pool;
+    for (unsigned i = 0; i < threads; ++i) {
+        pool.emplace_back([&] {
+            for (std::size_t job = next++; job < jobs.size(); job = next++) {
+                const auto &[situation, profile, policy] = jobs[job];
+                rows[job] = {profile.name, situation.name, policy.name, statisticsOf(runSituation(situation, profile, policy, seed, length))};
+            }
+        });
+    }
+    pool.clear();
+    return rows;
+}
+
+std::string commandLine(int argc, char **argv)
+{
+    std::string command = "lentillock-bench";
+    for (int i = 1; i < argc; ++i) {
+        command.append(" ").append(argv[i]);
+    }
+    return command;
+}
+
+int run(const options::variables_map &values, const std::string &command)
+{
+    const auto seed = values["seed"].as<std::uint64_t>();
+    std::cout << command << "\nseed " << seed << ", " << std::thread::hardware_concurrency() << " cores\n";
+    const auto length = std::chrono::seconds(values["seconds"].as<unsigned>());
+    const std::vector<ReportRow> rows = runAll(wantedJobs(values), seed, length, values["threads"].as<unsigned>());
+    writeTable(std::cout, rows);
+    if (values.count("output") > 0) {
+        const auto base = values["output"].as<std::string>();
+        std::ofstream json(base + ".json");
+        writeJson(json, rows, command, seed);
+        std::ofstream data(base + ".dat");
+        writeData(data, rows);
+    }
+    return 0;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    options::options_description description("Compares routing policies on a simulated fleet");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("seed", options::value<std::uint64_t>()->default_value(20261204), "seed of arrivals, lengths and tie-breaking");
+    add("seconds", options::value<unsigned>()->default_value(600), "virtual time that is measured, after a warm-up of 30 s");
+    add("threads", options::value<unsigned>()->default_value(4), "runs at a time");
+    add("profile", options::value<std::string>(), "only profiles whose name contains this");
+    add("situation", options::value<std::string>(), "only situations whose name contains this");
+    add("policy", options::value<std::string>(), "only policies whose name contains this");
+    add("output", options::value<std::string>(), "also write OUTPUT.json and OUTPUT.dat");
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, description), values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return 0;
+        }
+        return run(values, commandLine(argc, argv));
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/bench/situation.cpp
@@ -0,0 +1,111 @@
+#include "bench/situation.h"
+
+#include "bench/benchentry.h"
+#include "bench/benchrandom.h"
+#include "bench/eventqueue.h"
+#include "bench/simulatedfleet.h"
+
+namespace Lentillock
+{
+
+namespace
+{
+
+constexpr std::size_t EntryCount = 7;
+constexpr Duration PollInterval = 500ms;
+constexpr Duration WarmUp = 30s;
+/// Requests that are still running this long after the last arrival have passed every deadline.
+constexpr Duration CoolDown = 301s;
+
+/// One run: the fleet, its entries and the arrivals.
+class Run
+{
+public:
+    Run(const Situation &situation, const WorkloadProfile &profile, const BenchPolicy &policy, std::uint64_t seed)
+        : situation_(situation)
+        , fleet_(events_, engineSettings(situation), policy.objectives)
+        , workload_(profile, seed)
+        , arrivals_(seed + 1)
+        , meanGap_(Workload::meanEngineSeconds(profile, engineSettings(situation)) / (situation.load * SimulatedFleet::ReaderEngines))
+        , start_(events_.now())
+    {
+        for (std::size_t i = 0; i < EntryCount; ++i) {
+            const ZoneId zone("zone-" + std::to_string(i % SimulatedFleet::ZoneCount));
+            entries_.push_back(std::make_unique<BenchEntry>(
+                events_, fleet_, zone, policy.make(fleet_.document(), seed + i), seed + 100 + i, [this](const BenchResult &result) {
+                    if (result.arrival >= start_ + WarmUp) {
+                        result_.requests.push_back(result);
+                    }
+                }));
+            events_.after(PollInterval * (i + 1) / EntryCount, [this, i] { poll(i); });
+        }
+    }
+
+    SituationResult run(Duration length)
+    {
+        lastArrival_ = start_ + WarmUp + length;
+        arriveLater();
+        events_.at(start_ + WarmUp + (length / 3), [this] { injectFault(); });
+        events_.runUntil(lastArrival_);
+        result_.busyShare = fleet_.busyShare(ModelId("reader"), start_);
+        events_.runUntil(lastArrival_ + CoolDown);
+        result_.measured = length;
+        return std::move(result_);
+    }
+
+private:
+    static EngineSettings engineSettings(const Situation &situation)
+    {
+        EngineSettings settings;
+        settings.reportLag = situation.reportLag;
+        return settings;
+    }
+
+    void poll(std::size_t entry)
+    {
+        entries_[entry]->poll();
+        events_.after(PollInterval, [this, entry] { poll(entry); });
+    }
+
+    void arriveLater()
+    {
+        const auto gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(arrivals_.exponential(meanGap_)));
+        if (events_.now() + gap > lastArrival_) {
+            return;
+        }
+        events_.after(gap, [this] {
+            entries_[arrivals_.bits() % EntryCount]->arrive(workload_.next());
+            arriveLater();
+        });
+    }
+
+    void injectFault()
+    {
+        if (!situation_.deadEndpoint.empty()) {
+            fleet_.kill(EndpointId(situation_.deadEndpoint));
+        }
+        if (!situation_.deadZone.empty()) {
+            fleet_.killZone(ZoneId(situation_.deadZone));
+        }
+    }
+
+    Situation situation_;
+    EventQueue events_;
+    SimulatedFleet fleet_;
+    Workload workload_;
+    BenchRandom arrivals_;
+    double meanGap_;
+    TimePoint start_;
+    TimePoint lastArrival_;
+    std::vector<std::unique_ptr<BenchEntry>> entries_;
+    SituationResult result_;
+};
+
+}
+
+SituationResult runSituation(const Situation &situation, const WorkloadProfile &profile, const BenchPolicy &policy, std::uint64_t seed, Duration length)
+{
+    return Run(situation, profile, policy, seed).run(length);
+}
+
+}
