--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -183,11 +183,11 @@
         bool resumed = false;
         bool passesThrough = false; ///< A service's answer whose head has been passed on.
         int status = 0;
-        std::string contentType;
-        std::string heldBody; ///< Body of an error answer, which may be an explicit refusal.
+        std::string contentType{};
+        std::string heldBody{}; ///< Body of an error answer, which may be an explicit refusal.
         std::uint64_t bytes = 0; ///< Of a service's answer.
-        std::string fault;
-        std::optional<AnswerDecoder> decoder;
+        std::string fault{};
+        std::optional<AnswerDecoder> decoder{};
     };
 
     void run()
--- a/src/engine/transfer.h
+++ b/src/engine/transfer.h
@@ -31,8 +31,8 @@
     CURLcode code = CURLE_OK;
     bool connectFailed = false; ///< The connection was not established, so no byte of the request was sent.
     int status = 0;
-    std::string contentType;
-    std::string message; ///< Description of an error of the connection.
+    std::string contentType{};
+    std::string message{}; ///< Description of an error of the connection.
 };
 
 /// One call to an endpoint: a libcurl easy handle and what its callbacks need.
@@ -41,7 +41,7 @@
 public:
     /// Receivers of the answer; called from the task that drives the multi handle.
     struct Callbacks {
-        std::function<void(int status, const std::string &contentType)> head; ///< May be empty.
+        std::function<void(int status, const std::string &contentType)> head{}; ///< May be empty.
         std::function<bool(std::string_view bytes)> body; ///< Returns false to end the call.
         std::function<void(const TransferResult &result)> done;
     };
