--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -123,6 +123,7 @@
         return std::nullopt;
     }
     LoadReport report{.generation = stringMember(object, "generation"),
+                      .models = {},
                       .totalTokens = countMember(object, "totalTokens"),
                       .freeTokens = countMember(object, "freeTokens"),
                       .queuedTokens = countMember(object, "queuedTokens"),
@@ -357,7 +358,7 @@
             results_.emplace_back(AttemptEnded{.attempt = stream.attempt, .position = stream.bytes, .finishReason = "stop"});
             return;
         }
-        AttemptFailed failed{.attempt = stream.attempt, .failure = AttemptFailure::Broken, .status = stream.status};
+        AttemptFailed failed{.attempt = stream.attempt, .failure = AttemptFailure::Broken, .status = stream.status, .message = {}};
         if (!stream.fault.empty()) {
             failed.message = stream.fault;
         } else if (result.connectFailed) {
--- a/src/engine/transfer.cpp
+++ b/src/engine/transfer.cpp
@@ -29,6 +29,8 @@
     curl_easy_setopt(curl, CURLOPT_PRIVATE, this);
     curl_easy_setopt(curl, CURLOPT_URL, request_.url.c_str());
     curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+    // Paths go to the endpoint as the caller wrote them.
+    curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     // A proxy from the environment must not come between the entry and its endpoints.
     curl_easy_setopt(curl, CURLOPT_PROXY, "");
--- /dev/null
+++ b/src/entry/callerserver.cpp
@@ -0,0 +1,262 @@
+#include "entry/callerserver.h"
+
+#include "entry/callerconnection.h"
+
+#include <pistache/listener.h>
+#include <pistache/net.h>
+#include <pistache/tcp.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <set>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+constexpr milliseconds TickInterval{100};
+constexpr auto ConnectionData = "lentillock-connection";
+
+/// Connections of one server, shared by its handlers.
+struct ConnectionTable {
+    ConnectionTable(CallerServerSettings serverSettings, const SessionEnvironment &serverEnvironment, CallerServer::Dispatch dispatchFunction)
+        : settings(std::move(serverSettings))
+        , environment(serverEnvironment)
+        , dispatch(std::move(dispatchFunction))
+    {
+    }
+
+    CallerServerSettings settings;
+    const SessionEnvironment &environment;
+    CallerServer::Dispatch dispatch;
+    CallerConnection::Events events;
+
+    mutable std::mutex mutex;
+    std::set<std::shared_ptr<CallerConnection>> connections;
+    std::unordered_map<RequestId, std::shared_ptr<CallerConnection>> requests;
+
+    std::vector<std::shared_ptr<CallerConnection>> all() const
+    {
+        const std::lock_guard lock(mutex);
+        return {connections.begin(), connections.end()};
+    }
+
+    std::shared_ptr<CallerConnection> find(const RequestId &request) const
+    {
+        const std::lock_guard lock(mutex);
+        const auto found = requests.find(request);
+        return found == requests.end() ? nullptr : found->second;
+    }
+
+    void forget(const RequestId &request)
+    {
+        const std::lock_guard lock(mutex);
+        requests.erase(request);
+    }
+};
+
+class CallerHandler : public Pistache::Tcp::Handler
+{
+public:
+    PROTOTYPE_OF(Pistache::Tcp::Handler, CallerHandler)
+
+    explicit CallerHandler(std::shared_ptr<ConnectionTable> table)
+        : table_(std::move(table))
+    {
+    }
+
+    void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        auto connection = std::make_shared<CallerConnection>(table_->settings, table_->environment, table_->events, peer);
+        bool full = false;
+        {
+            const std::lock_guard lock(table_->mutex);
+            full = table_->connections.size() >= table_->settings.maxConnections;
+            table_->connections.insert(connection);
+        }
+        peer->putData(ConnectionData, connection);
+        table_->environment.metrics.increment("lentillock_entry_connections_total", {{"result", full ? "refused" : "accepted"}});
+        if (full) {
+            connection->abort();
+        }
+    }
+
+    void onInput(const char *buffer, std::size_t length, const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        if (const auto connection = connectionOf(peer)) {
+            connection->receive({buffer, length});
+        }
+    }
+
+    void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        const auto connection = connectionOf(peer);
+        if (connection == nullptr) {
+            return;
+        }
+        connection->onDisconnected();
+        // Pistache addresses queued writes by descriptor. A write that stayed queued now could reach the next caller that gets the same descriptor.
+        transport()->flush();
+        const std::lock_guard lock(table_->mutex);
+        table_->connections.erase(connection);
+    }
+
+private:
+    static std::shared_ptr<CallerConnection> connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &peer)
+    {
+        return std::static_pointer_cast<CallerConnection>(peer->tryGetData(ConnectionData));
+    }
+
+    std::shared_ptr<ConnectionTable> table_;
+};
+
+}
+
+class CallerServer::Implementation
+{
+public:
+    Implementation(CallerServerSettings settings, const SessionEnvironment &environment, Dispatch dispatch)
+        : table_(std::make_shared<ConnectionTable>(std::move(settings), environment, std::move(dispatch)))
+    {
+        // The table outlives its connections, which call these functions.
+        table_->events.admitted = [table = table_.get()](RequestSpecPtr spec, std::shared_ptr<CallerConnection> connection) {
+            {
+                const std::lock_guard lock(table->mutex);
+                table->requests.emplace(spec->id, std::move(connection));
+            }
+            table->dispatch(RequestArrived{std::move(spec)});
+        };
+        table_->events.abandoned = [table = table_.get()](const RequestId &request) {
+            table->forget(request);
+            table->dispatch(CallerGone{request});
+        };
+    }
+
+    ~Implementation()
+    {
+        {
+            const std::lock_guard lock(stopMutex_);
+            stopped_ = true;
+        }
+        stopCondition_.notify_all();
+        if (ticker_.joinable()) {
+            ticker_.join();
+        }
+        if (listening_) {
+            listener_.shutdown();
+        }
+    }
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    std::uint16_t start()
+    {
+        using Pistache::Tcp::Options;
+        const Pistache::Flags<Options> options(Options::NoDelay | Options::ReuseAddr | Options::CloseOnExec);
+        listener_.init(table_->settings.threads, options, "caller");
+        listener_.setHandler(std::make_shared<CallerHandler>(table_));
+        listener_.bind(Pistache::Address(table_->settings.address));
+        listener_.runThreaded();
+        listening_ = true;
+        ticker_ = std::thread([this] { tick(); });
+        return listener_.getPort();
+    }
+
+    void deliver(const SendToCaller &part)
+    {
+        if (const auto connection = table_->find(part.request)) {
+            connection->write(part);
+            waiting_.push_back(connection);
+        }
+    }
+
+    void deliver(const FinishRequest &end)
+    {
+        if (const auto connection = table_->find(end.request)) {
+            table_->forget(end.request);
+            connection->finish(end);
+            waiting_.push_back(connection);
+        }
+    }
+
+    void flush()
+    {
+        std::sort(waiting_.begin(), waiting_.end());
+        waiting_.erase(std::unique(waiting_.begin(), waiting_.end()), waiting_.end());
+        for (const auto &connection : waiting_) {
+            connection->flush();
+        }
+        waiting_.clear();
+    }
+
+    [[nodiscard]] bool isIdle() const
+    {
+        const auto connections = table_->all();
+        return std::none_of(connections.begin(), connections.end(), [](const auto &connection) { return connection->hasUnsentBytes(); });
+    }
+
+private:
+    void tick()
+    {
+        std::unique_lock lock(stopMutex_);
+        while (!stopCondition_.wait_for(lock, TickInterval, [this] { return stopped_; })) {
+            lock.unlock();
+            const TimePoint now = std::chrono::steady_clock::now();
+            for (const auto &connection : table_->all()) {
+                connection->advance(now);
+            }
+            lock.lock();
+        }
+    }
+
+    std::shared_ptr<ConnectionTable> table_;
+    Pistache::Tcp::Listener listener_;
+    bool listening_ = false;
+    std::vector<std::shared_ptr<CallerConnection>> waiting_;
+    std::mutex stopMutex_;
+    std::condition_variable stopCondition_;
+    bool stopped_ = false;
+    std::thread ticker_;
+};
+
+CallerServer::CallerServer(CallerServerSettings settings, const SessionEnvironment &environment, Dispatch dispatch)
+    : implementation_(std::make_unique<Implementation>(std::move(settings), environment, std::move(dispatch)))
+{
+}
+
+CallerServer::~CallerServer() = default;
+
+std::uint16_t CallerServer::start()
+{
+    return implementation_->start();
+}
+
+void CallerServer::deliver(const SendToCaller &part)
+{
+    implementation_->deliver(part);
+}
+
+void CallerServer::deliver(const FinishRequest &end)
+{
+    implementation_->deliver(end);
+}
+
+void CallerServer::flush()
+{
+    implementation_->flush();
+}
+
+bool CallerServer::isIdle() const
+{
+    return implementation_->isIdle();
+}
+
+}
--- /dev/null
+++ b/src/entry/completionbody.cpp
@@ -0,0 +1,363 @@
+#include "entry/completionbody.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <array>
+#include <cmath>
+#include <limits>
+#include <optional>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+// An object in an array in an object; text parts of chat messages are two levels deeper.
+constexpr std::size_t MaxDepth = 6;
+
+constexpr std::size_t MaxNameBytes = 64;
+constexpr std::size_t MaxModelBytes = 256;
+
+/// Receives the events of the JSON parser and keeps only the members of a completion request, so that no document tree is built.
+class CompletionBodyHandler
+{
+public:
+    static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
+    static constexpr std::size_t max_array_size = std::numeric_limits<std::size_t>::max();
+    static constexpr std::size_t max_key_size = std::numeric_limits<std::size_t>::max();
+    static constexpr std::size_t max_string_size = std::numeric_limits<std::size_t>::max();
+
+    explicit CompletionBodyHandler(bool chat)
+        : chat_(chat)
+    {
+    }
+
+    using ErrorCode = boost::json::error_code;
+    using StringView = boost::json::string_view;
+
+    // The parser fixes the names of the following functions.
+    // NOLINTBEGIN(readability-identifier-naming)
+    bool on_document_begin(ErrorCode & /*error*/)
+    {
+        return true;
+    }
+
+    bool on_document_end(ErrorCode & /*error*/)
+    {
+        return true;
+    }
+
+    bool on_object_begin(ErrorCode &error)
+    {
+        if (level_ == Level::None) {
+            level_ = Level::Request;
+            return true;
+        }
+        if (level_ == Level::Messages) {
+            level_ = Level::Message;
+            role_.clear();
+            content_.clear();
+            hasRole_ = false;
+            hasContent_ = false;
+            return true;
+        }
+        return wrongType(error);
+    }
+
+    bool on_object_end(std::size_t /*count*/, ErrorCode &error)
+    {
+        if (level_ == Level::Message) {
+            level_ = Level::Messages;
+            if (!hasRole_ || !hasContent_) {
+                return fail(error, pointer(), "a message needs role and content");
+            }
+            body_.prompt += "<|" + role_ + "|>\n";
+            body_.prompt += content_;
+            body_.prompt += '\n';
+            ++messages_;
+            return true;
+        }
+        level_ = Level::Done;
+        return true;
+    }
+
+    bool on_array_begin(ErrorCode &error)
+    {
+        if (level_ != Level::Request || name_ != "messages") {
+            return wrongType(error);
+        }
+        level_ = Level::Messages;
+        return true;
+    }
+
+    bool on_array_end(std::size_t /*count*/, ErrorCode & /*error*/)
+    {
+        level_ = Level::Request;
+        return true;
+    }
+
+    bool on_key_part(StringView part, std::size_t /*count*/, ErrorCode &error)
+    {
+        partialName_.append(part.data(), part.size());
+        return partialName_.size() <= MaxNameBytes || fail(error, parentPointer(), "a member name is longer than " + std::to_string(MaxNameBytes) + " bytes");
+    }
+
+    bool on_key(StringView part, std::size_t count, ErrorCode &error)
+    {
+        if (!on_key_part(part, count, error)) {
+            return false;
+        }
+        name_ = std::move(partialName_);
+        partialName_.clear();
+        return checkName(error);
+    }
+
+    bool on_string_part(StringView part, std::size_t /*count*/, ErrorCode &error)
+    {
+        std::string *target = textTarget();
+        if (target == nullptr) {
+            return wrongType(error);
+        }
+        target->append(part.data(), part.size());
+        if ((target == &body_.model || target == &role_) && target->size() > MaxModelBytes) {
+            return fail(error, pointer(), "longer than " + std::to_string(MaxModelBytes) + " bytes");
+        }
+        return true;
+    }
+
+    bool on_string(StringView part, std::size_t count, ErrorCode &error)
+    {
+        if (!on_string_part(part, count, error)) {
+            return false;
+        }
+        if (level_ == Level::Message && name_ == "role") {
+            hasRole_ = true;
+            return checkRole(error);
+        }
+        hasContent_ = hasContent_ || name_ == "content";
+        return true;
+    }
+
+    bool on_number_part(StringView /*part*/, ErrorCode & /*error*/)
+    {
+        return true;
+    }
+
+    bool on_int64(std::int64_t number, StringView /*text*/, ErrorCode &error)
+    {
+        if (level_ != Level::Request || name_ != "max_tokens") {
+            return wrongType(error);
+        }
+        if (number < 1 || number > static_cast<std::int64_t>(HighestMaxTokens)) {
+            return fail(error, pointer(), "must be from 1 to " + std::to_string(HighestMaxTokens));
+        }
+        body_.maxTokens = static_cast<std::uint64_t>(number);
+        return true;
+    }
+
+    bool on_uint64(std::uint64_t /*number*/, StringView /*text*/, ErrorCode &error)
+    {
+        // The parser reports only numbers above the range of std::int64_t here.
+        return name_ == "max_tokens" ? fail(error, pointer(), "must be from 1 to " + std::to_string(HighestMaxTokens)) : wrongType(error);
+    }
+
+    bool on_double(double /*number*/, StringView /*text*/, ErrorCode &error)
+    {
+        return wrongType(error);
+    }
+
+    bool on_bool(bool value, ErrorCode &error)
+    {
+        if (level_ != Level::Request || name_ != "stream") {
+            return wrongType(error);
+        }
+        body_.stream = value;
+        return true;
+    }
+
+    bool on_null(ErrorCode &error)
+    {
+        return wrongType(error);
+    }
+
+    bool on_comment_part(StringView /*part*/, ErrorCode & /*error*/)
+    {
+        return true;
+    }
+
+    bool on_comment(StringView /*part*/, ErrorCode & /*error*/)
+    {
+        return true;
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+    leaf::result<CompletionBody> finish()
+    {
+        if (!hasModel_ || body_.model.empty()) {
+            return leaf::new_error(BodyFault{"/model", "missing"});
+        }
+        if (!hasText_) {
+            return leaf::new_error(BodyFault{chat_ ? "/messages" : "/prompt", "missing"});
+        }
+        if (chat_) {
+            if (messages_ == 0) {
+                return leaf::new_error(BodyFault{"/messages", "must not be empty"});
+            }
+            body_.prompt += "<|assistant|>\n";
+        } else if (body_.prompt.empty()) {
+            return leaf::new_error(BodyFault{"/prompt", "must not be empty"});
+        }
+        if (body_.maxTokens == 0) {
+            body_.maxTokens = DefaultMaxTokens;
+        }
+        return std::move(body_);
+    }
+
+    [[nodiscard]] const std::optional<BodyFault> &fault() const
+    {
+        return fault_;
+    }
+
+private:
+    enum class Level {
+        None,
+        Request,
+        Messages,
+        Message,
+        Done,
+    };
+
+    [[nodiscard]] std::string parentPointer() const
+    {
+        return level_ == Level::Message ? "/messages/" + std::to_string(messages_) : std::string();
+    }
+
+    [[nodiscard]] std::string pointer() const
+    {
+        switch (level_) {
+        case Level::Request:
+            return '/' + name_;
+        case Level::Messages:
+            return "/messages/" + std::to_string(messages_);
+        case Level::Message:
+            return parentPointer() + '/' + name_;
+        default:
+            return {};
+        }
+    }
+
+    bool fail(ErrorCode &error, std::string place, std::string message)
+    {
+        fault_ = BodyFault{std::move(place), std::move(message)};
+        error = boost::json::error::syntax;
+        return false;
+    }
+
+    bool wrongType(ErrorCode &error)
+    {
+        if (level_ == Level::None) {
+            return fail(error, "", "must be an object");
+        }
+        if (level_ == Level::Messages) {
+            return fail(error, pointer(), "must be an object");
+        }
+        const bool integer = name_ == "max_tokens";
+        const bool boolean = name_ == "stream";
+        const bool array = name_ == "messages";
+        return fail(error, pointer(), integer ? "must be an integer" : boolean ? "must be true or false" : array ? "must be an array" : "must be a string");
+    }
+
+    /// Refuses members that would be ignored, since the caller would take them as obeyed, and repeated ones, of which it is unclear which counts.
+    bool checkName(ErrorCode &error)
+    {
+        if (level_ == Level::Message) {
+            bool &seen = name_ == "role" ? hasRole_ : hasContent_;
+            if (name_ != "role" && name_ != "content") {
+                return fail(error, pointer(), "unknown member; known are role and content");
+            }
+            return !seen || fail(error, pointer(), "given more than once");
+        }
+        const std::string_view text = chat_ ? "messages" : "prompt";
+        bool *seen = name_ == "model" ? &hasModel_ : name_ == text ? &hasText_ : name_ == "max_tokens" ? &hasMaxTokens_ : name_ == "stream" ? &hasStream_ : nullptr;
+        if (seen == nullptr) {
+            return fail(error, pointer(), "unknown member; known are model, " + std::string(text) + ", max_tokens and stream");
+        }
+        if (*seen) {
+            return fail(error, pointer(), "given more than once");
+        }
+        *seen = true;
+        return true;
+    }
+
+    bool checkRole(ErrorCode &error)
+    {
+        constexpr std::array<std::string_view, 3> roles{"system", "user", "assistant"};
+        for (const std::string_view role : roles) {
+            if (role_ == role) {
+                return true;
+            }
+        }
+        return fail(error, pointer(), "must be system, user or assistant");
+    }
+
+    std::string *textTarget()
+    {
+        if (level_ == Level::Message) {
+            return name_ == "role" ? &role_ : &content_;
+        }
+        if (level_ == Level::Request && name_ == "model") {
+            return &body_.model;
+        }
+        return level_ == Level::Request && name_ == "prompt" ? &body_.prompt : nullptr;
+    }
+
+    bool chat_;
+    Level level_ = Level::None;
+    std::string partialName_;
+    std::string name_;
+    std::string role_;
+    std::string content_;
+    bool hasRole_ = false;
+    bool hasContent_ = false;
+    bool hasModel_ = false;
+    bool hasText_ = false;
+    bool hasMaxTokens_ = false;
+    bool hasStream_ = false;
+    std::size_t messages_ = 0;
+    CompletionBody body_;
+    std::optional<BodyFault> fault_;
+};
+
+leaf::result<CompletionBody> parse(std::string_view text, bool chat)
+{
+    boost::json::parse_options options;
+    options.max_depth = MaxDepth;
+    boost::json::basic_parser<CompletionBodyHandler> parser(options, chat);
+    boost::json::error_code error;
+    const std::size_t consumed = parser.write_some(false, text.data(), text.size(), error);
+    if (parser.handler().fault()) {
+        return leaf::new_error(*parser.handler().fault());
+    }
+    if (error) {
+        return leaf::new_error(BodyFault{"", "not valid JSON at byte " + std::to_string(consumed) + ": " + error.message()});
+    }
+    if (consumed != text.size()) {
+        return leaf::new_error(BodyFault{"", "not valid JSON at byte " + std::to_string(consumed) + ": text after the end"});
+    }
+    return parser.handler().finish();
+}
+
+}
+
+leaf::result<CompletionBody> parseCompletionBody(std::string_view text)
+{
+    return parse(text, false);
+}
+
+leaf::result<CompletionBody> parseChatBody(std::string_view text)
+{
+    return parse(text, true);
+}
+
+}
--- /dev/null
+++ b/src/entry/dispatchtask.cpp
@@ -0,0 +1,132 @@
+#include "entry/dispatchtask.h"
+
+#include <algorithm>
+#include <future>
+#include <type_traits>
+#include <utility>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+constexpr milliseconds IdleWait{1000};
+
+TimePoint clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+template<typename Action, typename... Kinds>
+constexpr bool IsOneOf = (std::is_same_v<Action, Kinds> || ...);
+
+}
+
+DispatchTask::DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs, Metrics &metrics)
+    : dispatcher_(std::move(dispatcher))
+    , outputs_(std::move(outputs))
+    , metrics_(metrics)
+    , thread_([this] { run(); })
+{
+}
+
+DispatchTask::~DispatchTask()
+{
+    mailbox_.post(Stop{});
+    thread_.join();
+}
+
+void DispatchTask::post(DispatchInput input)
+{
+    mailbox_.post(std::move(input));
+}
+
+void DispatchTask::post(std::vector<DispatchInput> inputs)
+{
+    mailbox_.post(std::move(inputs));
+}
+
+template<typename Result>
+Result DispatchTask::ask(std::function<Result(const Dispatcher &, TimePoint)> question)
+{
+    std::promise<Result> promise;
+    std::future<Result> answer = promise.get_future();
+    mailbox_.post(Query([&](const Dispatcher &dispatcher, TimePoint now) { promise.set_value(question(dispatcher, now)); }));
+    return answer.get();
+}
+
+std::vector<bool> DispatchTask::areActive(const std::vector<RequestId> &requests)
+{
+    return ask<std::vector<bool>>([&](const Dispatcher &dispatcher, TimePoint) {
+        std::vector<bool> active;
+        active.reserve(requests.size());
+        for (const RequestId &request : requests) {
+            active.push_back(dispatcher.isActive(request));
+        }
+        return active;
+    });
+}
+
+boost::json::object DispatchTask::dumpState()
+{
+    return ask<boost::json::object>([](const Dispatcher &dispatcher, TimePoint now) { return dispatcher.dumpState(now); });
+}
+
+std::optional<boost::json::object> DispatchTask::explain(const RequestId &request)
+{
+    return ask<std::optional<boost::json::object>>([&](const Dispatcher &dispatcher, TimePoint now) { return dispatcher.explain(request, now); });
+}
+
+bool DispatchTask::isIdle()
+{
+    return ask<bool>([](const Dispatcher &dispatcher, TimePoint) { return dispatcher.isIdle(); });
+}
+
+void DispatchTask::run()
+{
+    while (!stopped_) {
+        const TimePoint latest = clockNow() + IdleWait;
+        auto messages = mailbox_.waitUntil(std::min(dispatcher_->nextDue().value_or(latest), latest));
+        for (Message &message : messages) {
+            if (const auto *input = std::get_if<DispatchInput>(&message)) {
+                handle(*input);
+            } else if (const auto *inputs = std::get_if<std::vector<DispatchInput>>(&message)) {
+                std::for_each(inputs->begin(), inputs->end(), [this](const DispatchInput &input) { handle(input); });
+            } else if (const auto *query = std::get_if<Query>(&message)) {
+                (*query)(*dispatcher_, clockNow());
+            } else {
+                stopped_ = true;
+            }
+        }
+        carryOut(dispatcher_->advance(clockNow()));
+        outputs_.flush();
+    }
+}
+
+void DispatchTask::handle(const DispatchInput &input)
+{
+    carryOut(dispatcher_->handle(clockNow(), input));
+}
+
+void DispatchTask::carryOut(std::vector<DispatchAction> actions)
+{
+    for (DispatchAction &action : actions) {
+        std::visit(
+            [&](auto &value) {
+                using Action = std::decay_t<decltype(value)>;
+                if constexpr (std::is_same_v<Action, SendToCaller>) {
+                    outputs_.send(value);
+                } else if constexpr (std::is_same_v<Action, FinishRequest>) {
+                    outputs_.finish(value);
+                } else if constexpr (IsOneOf<Action, AskClaim, ReleaseClaim, RecordOutcome, ReportEndpoint>) {
+                    outputs_.controls(std::move(action));
+                } else {
+                    outputs_.endpoints(std::move(action));
+                }
+            },
+            action);
+    }
+}
+
+}
--- /dev/null
+++ b/src/entry/dispatchtask.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/mailbox.h"
+#include "base/metrics.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/messages.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// The thread that owns the dispatcher and its timers.
+class DispatchTask
+{
+public:
+    /// Receivers of the dispatcher's actions; called from the task.
+    struct Outputs {
+        std::function<void(DispatchAction)> endpoints; ///< Actions of EngineClient.
+        std::function<void(DispatchAction)> controls; ///< Actions of ControlLink.
+        std::function<void(const SendToCaller &)> send;
+        std::function<void(const FinishRequest &)> finish;
+        std::function<void()> flush; ///< After each batch of actions.
+    };
+
+    DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs, Metrics &metrics);
+
+    /// Ends the task. Requests that are not done get no answer; post AbortAll before.
+    ~DispatchTask();
+
+    DispatchTask(const DispatchTask &) = delete;
+    DispatchTask &operator=(const DispatchTask &) = delete;
+
+    /// Safe from any thread.
+    void post(DispatchInput input);
+    void post(std::vector<DispatchInput> inputs);
+
+    /// The following wait for the task's answer.
+    [[nodiscard]] std::vector<bool> areActive(const std::vector<RequestId> &requests);
+    [[nodiscard]] boost::json::object dumpState();
+    [[nodiscard]] std::optional<boost::json::object> explain(const RequestId &request);
+    [[nodiscard]] bool isIdle();
+
+private:
+    using Query = std::function<void(const Dispatcher &dispatcher, TimePoint now)>;
+    struct Stop {
+    };
+    using Message = std::variant<DispatchInput, std::vector<DispatchInput>, Query, Stop>;
+
+    void run();
+    void handle(const DispatchInput &input);
+    void carryOut(std::vector<DispatchAction> actions);
+    template<typename Result>
+    Result ask(std::function<Result(const Dispatcher &, TimePoint)> question);
+
+    std::unique_ptr<Dispatcher> dispatcher_;
+    Outputs outputs_;
+    Metrics &metrics_;
+    Mailbox<Message> mailbox_;
+    bool stopped_ = false;
+    std::thread thread_;
+};
+
+}
--- /dev/null
+++ b/src/entry/errorreply.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/time.h"
+#include "dispatch/messages.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Lentillock
+{
+
+/// An error for a caller.
+struct ErrorReply {
+    int status = 500;
+    std::string code; ///< For programs, for example "body_too_large".
+    std::string message; ///< For people.
+    RunState runState = RunState::WasNotRun;
+    std::optional<milliseconds> retryAfter{};
+
+    bool operator==(const ErrorReply &) const = default;
+};
+
+std::string_view runStateName(RunState state);
+
+/// `{"error":{...}}` without a line end. retryAfterMs is left out when the caller should not retry.
+std::string errorBody(const ErrorReply &error, const std::string &requestId);
+
+/// Reason phrase of an HTTP status.
+std::string_view statusText(int status);
+
+}
--- /dev/null
+++ b/src/entry/filterchain.cpp
@@ -0,0 +1,304 @@
+#include "entry/filterchain.h"
+
+#include "entry/completionbody.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cctype>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+constexpr std::size_t MaxRequestIdBytes = 128;
+
+// A body of 8 MiB holds about a million tokens. The dispatcher's cost model corrects the estimate from the engines' answers.
+constexpr std::size_t BytesPerToken = 8;
+
+// Used when the document gives a workspace no timeouts.
+constexpr milliseconds FallbackTimeout{60'000};
+constexpr milliseconds FallbackMaxTimeout{600'000};
+
+constexpr std::string_view CompletionPath = "/v1/completions";
+constexpr std::string_view ChatPath = "/v1/chat/completions";
+
+ErrorReply refusal(int status, std::string code, std::string message)
+{
+    return {.status = status, .code = std::move(code), .message = std::move(message)};
+}
+
+bool isTokenCharacter(char character)
+{
+    return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_' || character == '.' || character == ':';
+}
+
+bool equalIgnoringCase(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+/// Whether a segment of the path is "." or "..", also in percent encoding. Endpoints may resolve such segments and leave the permitted prefix.
+bool hasDotSegment(std::string_view path)
+{
+    std::string plain;
+    for (std::size_t index = 0; index < path.size(); ++index) {
+        const std::string_view rest = path.substr(index);
+        if (rest.starts_with('%') && (equalIgnoringCase(rest.substr(0, 3), "%2e") || equalIgnoringCase(rest.substr(0, 3), "%2f"))) {
+            plain += std::tolower(static_cast<unsigned char>(rest[2])) == 'e' ? '.' : '/';
+            index += 2;
+        } else {
+            plain += path[index];
+        }
+    }
+    plain += '/';
+    return plain.find("/./") != std::string::npos || plain.find("/../") != std::string::npos;
+}
+
+bool mayUse(const Workspace &workspace, std::string_view name)
+{
+    return std::any_of(workspace.models.begin(), workspace.models.end(), [&](const ModelId &model) { return model.value() == name; });
+}
+
+}
+
+bool isUuidVersion7(std::string_view text)
+{
+    constexpr std::size_t length = 36;
+    constexpr std::size_t versionIndex = 14;
+    constexpr std::size_t variantIndex = 19;
+    if (text.size() != length || text[versionIndex] != '7') {
+        return false;
+    }
+    for (std::size_t index = 0; index < length; ++index) {
+        const bool dash = index == 8 || index == 13 || index == 18 || index == 23;
+        if (dash ? text[index] != '-' : std::isxdigit(static_cast<unsigned char>(text[index])) == 0) {
+            return false;
+        }
+    }
+    return std::string_view("89abAB").find(text[variantIndex]) != std::string_view::npos;
+}
+
+std::optional<ErrorReply> FilterChain::applyToHead(RequestContext &context) const
+{
+    static constexpr std::array<Filter, 9> filters{&FilterChain::readRequestId,
+                                                   &FilterChain::checkVersion,
+                                                   &FilterChain::checkPath,
+                                                   &FilterChain::requireView,
+                                                   &FilterChain::authenticate,
+                                                   &FilterChain::findRoute,
+                                                   &FilterChain::checkContentType,
+                                                   &FilterChain::readTimeout,
+                                                   &FilterChain::readIdempotency};
+    for (const Filter filter : filters) {
+        if (auto error = (this->*filter)(context)) {
+            return error;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::applyToBody(RequestContext &context) const
+{
+    static constexpr std::array<Filter, 3> filters{&FilterChain::readBody, &FilterChain::checkModel, &FilterChain::checkLength};
+    for (const Filter filter : filters) {
+        if (auto error = (this->*filter)(context)) {
+            return error;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::readRequestId(RequestContext &context) const
+{
+    const std::string *given = context.head->field("lentillock-request-id");
+    if (given == nullptr) {
+        return std::nullopt;
+    }
+    if (given->empty() || given->size() > MaxRequestIdBytes || !std::all_of(given->begin(), given->end(), isTokenCharacter)) {
+        return refusal(400, "invalid_header", "Lentillock-Request-Id must be 1 to 128 letters, digits, '-', '_', '.' or ':'");
+    }
+    context.requestId = *given;
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::checkVersion(RequestContext &context) const
+{
+    if (context.head->http10) {
+        // Without chunks the end of an answer could not be told from a broken connection.
+        return refusal(505, "http_version_not_supported", "HTTP/1.1 is needed");
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::checkPath(RequestContext &context) const
+{
+    if (hasDotSegment(context.head->path())) {
+        return refusal(400, "invalid_path", "the path must not contain '.' or '..' segments");
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::requireView(RequestContext &context) const
+{
+    if (context.view == nullptr || context.view->directory == nullptr) {
+        ErrorReply error = refusal(503, "not_ready", "the entry has no configuration yet");
+        error.retryAfter = milliseconds(1000);
+        return error;
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::authenticate(RequestContext &context) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string *authorization = context.head->field("authorization");
+    if (authorization == nullptr || authorization->size() <= scheme.size() || !equalIgnoringCase(authorization->substr(0, scheme.size()), scheme)) {
+        return refusal(401, "unauthenticated", "a bearer token is needed");
+    }
+    std::string_view token = std::string_view(*authorization).substr(scheme.size());
+    token.remove_prefix(std::min(token.find_first_not_of(' '), token.size()));
+    context.workspace = context.view->directory->byToken(token);
+    if (context.workspace == nullptr) {
+        return refusal(401, "unauthenticated", "the bearer token is not known");
+    }
+    context.spec.workspace = context.workspace->id;
+    const std::string &group = context.workspace->sharingGroup;
+    context.spec.cacheSalt = group.empty() ? "workspace:" + context.workspace->id.value() : "group:" + group;
+    context.spec.priority = context.view->directory->priorityLevel(context.workspace->priorityClass);
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::findRoute(RequestContext &context) const
+{
+    const std::string_view path = context.head->path();
+    if (path == CompletionPath || path == ChatPath) {
+        context.style.chat = path == ChatPath;
+        context.spec.kind = RequestKind::Completion;
+        return context.head->method == "POST" ? std::nullopt : std::optional(refusal(405, "method_not_allowed", "only POST is allowed here"));
+    }
+    const Endpoint *service = context.view->directory->service(path);
+    // A service that the workspace may not use looks like one that does not exist, so that names of other workspaces' services stay unknown.
+    if (service == nullptr || !mayUse(*context.workspace, service->pathPrefix)) {
+        return refusal(404, "not_found", "there is nothing under this path");
+    }
+    constexpr std::array<std::string_view, 6> methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
+    if (std::find(methods.begin(), methods.end(), context.head->method) == methods.end()) {
+        return refusal(405, "method_not_allowed", "only GET, HEAD, POST, PUT, PATCH and DELETE are allowed here");
+    }
+    context.style.kind = RequestKind::Service;
+    context.spec.kind = RequestKind::Service;
+    context.spec.method = context.head->method;
+    context.spec.path = context.head->target;
+    const auto &paths = service->nonRepeatablePaths;
+    context.spec.idempotent = std::none_of(paths.begin(), paths.end(), [&](const std::string &prefix) { return isBelow(path, prefix); });
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::checkContentType(RequestContext &context) const
+{
+    const std::string *type = context.head->field("content-type");
+    if (context.spec.kind == RequestKind::Service) {
+        context.spec.contentType = type == nullptr ? std::string() : *type;
+        return std::nullopt;
+    }
+    const std::string_view media = type == nullptr ? std::string_view() : std::string_view(*type).substr(0, type->find_first_of("; "));
+    if (!media.empty() && !equalIgnoringCase(media, "application/json")) {
+        return refusal(415, "unsupported_media_type", "Content-Type must be application/json");
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::readTimeout(RequestContext &context) const
+{
+    const milliseconds ceiling = context.workspace->maxTimeout.count() > 0 ? context.workspace->maxTimeout : FallbackMaxTimeout;
+    milliseconds timeout = context.workspace->defaultTimeout.count() > 0 ? context.workspace->defaultTimeout : FallbackTimeout;
+    if (const std::string *given = context.head->field("lentillock-timeout-ms")) {
+        std::int64_t number = 0;
+        const auto [end, error] = std::from_chars(given->data(), given->data() + given->size(), number);
+        if (error != std::errc() || end != given->data() + given->size() || number < 1) {
+            return refusal(400, "invalid_header", "Lentillock-Timeout-Ms must be a positive number of milliseconds");
+        }
+        timeout = milliseconds(number);
+    }
+    context.spec.deadline = context.now + std::min(timeout, ceiling);
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::readIdempotency(RequestContext &context) const
+{
+    if (const std::string *given = context.head->field("lentillock-idempotent")) {
+        if (*given != "true" && *given != "false") {
+            return refusal(400, "invalid_header", "Lentillock-Idempotent must be true or false");
+        }
+        context.spec.idempotent = *given == "true";
+    }
+    const std::string *key = context.head->field("idempotency-key");
+    if (key == nullptr) {
+        return context.spec.idempotent ? std::nullopt
+                                       : std::optional(refusal(400, "idempotency_key_required", "a request that is not idempotent needs an Idempotency-Key"));
+    }
+    if (!isUuidVersion7(*key)) {
+        return refusal(400, "invalid_idempotency_key", "Idempotency-Key must be a UUID of version 7");
+    }
+    context.spec.idempotencyKey = *key;
+    std::transform(key->begin(), key->end(), context.spec.idempotencyKey.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::readBody(RequestContext &context) const
+{
+    if (context.spec.kind == RequestKind::Service) {
+        context.spec.prompt = std::make_shared<const std::string>(std::move(context.body));
+        return std::nullopt;
+    }
+    std::optional<ErrorReply> error;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(body, context.style.chat ? parseChatBody(context.body) : parseCompletionBody(context.body));
+            context.body = {};
+            context.style.stream = body.stream;
+            context.style.model = body.model;
+            context.spec.model = ModelId(std::move(body.model));
+            context.spec.maxTokens = body.maxTokens;
+            context.spec.promptTokens = (body.prompt.size() + BytesPerToken - 1) / BytesPerToken;
+            context.spec.prompt = std::make_shared<const std::string>(std::move(body.prompt));
+            return {};
+        },
+        [&](const BodyFault &fault) {
+            error = refusal(400, "invalid_body", (fault.pointer.empty() ? std::string() : fault.pointer + ": ") + fault.message);
+        },
+        [&] { error = refusal(400, "invalid_body", "the body cannot be read"); });
+    return error;
+}
+
+std::optional<ErrorReply> FilterChain::checkModel(RequestContext &context) const
+{
+    if (context.spec.kind == RequestKind::Service) {
+        return std::nullopt;
+    }
+    if (!mayUse(*context.workspace, context.spec.model.value()) || context.view->directory->model(context.spec.model) == nullptr) {
+        return refusal(403, "model_not_permitted", "the workspace may not use this model");
+    }
+    return std::nullopt;
+}
+
+std::optional<ErrorReply> FilterChain::checkLength(RequestContext &context) const
+{
+    if (context.spec.kind == RequestKind::Service) {
+        return std::nullopt;
+    }
+    const std::int64_t maxTokens = context.view->directory->model(context.spec.model)->maxTokens;
+    if (maxTokens > 0 && context.spec.promptTokens > static_cast<std::uint64_t>(maxTokens)) {
+        return refusal(400,
+                       "prompt_too_long",
+                       "the prompt has about " + std::to_string(context.spec.promptTokens) + " tokens, the model admits " + std::to_string(maxTokens));
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/entry/httpsession.cpp
@@ -0,0 +1,278 @@
+#include "entry/httpsession.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+constexpr std::string_view ContinueReply = "HTTP/1.1 100 Continue\r\n\r\n";
+
+ErrorReply bufferFull()
+{
+    return {.status = 503,
+            .code = "buffers_full",
+            .message = "the entry holds as many bytes of bodies and answers as it may",
+            .runState = RunState::WasNotRun,
+            .retryAfter = milliseconds(1000)};
+}
+
+}
+
+HttpSession::HttpSession(const SessionEnvironment &environment, TimePoint now)
+    : environment_(environment)
+    , parser_(environment.limits.http)
+    , since_(now)
+    , lease_(environment.budget)
+{
+}
+
+HttpSession::~HttpSession() = default;
+
+SessionOutput HttpSession::receive(TimePoint now, std::string_view bytes)
+{
+    SessionOutput output;
+    if (phase_ == Phase::Closed || overflow_) {
+        return output;
+    }
+    if (phase_ == Phase::Answering) {
+        if (parser_.pendingBytes() + bytes.size() > environment_.limits.maxPipelinedBytes) {
+            overflow_ = true;
+        } else {
+            parser_.append(bytes);
+        }
+        return output;
+    }
+    parser_.append(bytes);
+    process(now, output);
+    return output;
+}
+
+SessionOutput HttpSession::write(const SendToCaller &part)
+{
+    SessionOutput output;
+    if (phase_ != Phase::Answering || part.request != context_.spec.id) {
+        return output;
+    }
+    writer_->write(part, output.bytes);
+    const std::size_t held = writer_->heldBytes();
+    if (held == 0) {
+        return output;
+    }
+    const bool tooLong = held > environment_.limits.maxAnswerBytes;
+    if (!tooLong && lease_.resize(held)) {
+        return output;
+    }
+    output.abandoned = context_.spec.id;
+    ErrorReply error = bufferFull();
+    if (tooLong) {
+        error = {.status = 502,
+                 .code = "answer_too_large",
+                 .message = "the answer exceeds " + std::to_string(environment_.limits.maxAnswerBytes) + " bytes; ask for a stream",
+                 .runState = RunState::Unknown};
+    }
+    error.runState = RunState::Unknown;
+    refuse(error, false, output);
+    return output;
+}
+
+SessionOutput HttpSession::finish(TimePoint now, const FinishRequest &end)
+{
+    SessionOutput output;
+    if (phase_ != Phase::Answering || end.request != context_.spec.id) {
+        return output;
+    }
+    if (!writer_->finish(end, output.bytes)) {
+        enter(Phase::Closed, now);
+        output.fate = ConnectionFate::Abort;
+        return output;
+    }
+    environment_.metrics.increment("lentillock_entry_requests_total", {{"result", end.succeeded ? "succeeded" : end.code}});
+    endRequest(now, output);
+    process(now, output);
+    return output;
+}
+
+SessionOutput HttpSession::disconnect(std::string_view reason)
+{
+    SessionOutput output;
+    if (phase_ == Phase::Answering) {
+        output.abandoned = context_.spec.id;
+        environment_.metrics.increment("lentillock_entry_callers_gone_total", {{"reason", std::string(reason)}});
+    }
+    phase_ = Phase::Closed;
+    output.fate = ConnectionFate::Abort;
+    return output;
+}
+
+SessionOutput HttpSession::advance(TimePoint now)
+{
+    SessionOutput output;
+    const SessionLimits &limits = environment_.limits;
+    if (phase_ == Phase::Idle && now - since_ >= limits.idleTimeout) {
+        enter(Phase::Closed, now);
+        output.fate = ConnectionFate::Close;
+    } else if (phase_ == Phase::Head && now - since_ >= limits.headTimeout) {
+        refuse({.status = 408, .code = "request_timeout", .message = "the head of the request did not arrive in time"}, false, output);
+    } else if (phase_ == Phase::Body && now - since_ >= limits.bodyTimeout) {
+        refuse({.status = 408, .code = "request_timeout", .message = "the body of the request did not arrive in time"}, false, output);
+    }
+    return output;
+}
+
+void HttpSession::process(TimePoint now, SessionOutput &output)
+{
+    while (phase_ != Phase::Answering && phase_ != Phase::Closed) {
+        if (phase_ == Phase::Idle && parser_.hasBegun()) {
+            context_ = {};
+            context_.spec.id = environment_.newRequestId();
+            context_.requestId = context_.spec.id.value();
+            enter(Phase::Head, now);
+        }
+        switch (parser_.next()) {
+        case HttpRequestParser::Step::NeedsBytes:
+            if (phase_ == Phase::Body) {
+                accountBody(output);
+            }
+            return;
+        case HttpRequestParser::Step::Failed:
+            refuse(parser_.error(), false, output);
+            return;
+        case HttpRequestParser::Step::Head:
+            if (!beginRequest(now, output)) {
+                return;
+            }
+            break;
+        case HttpRequestParser::Step::Done:
+            if (accountBody(output)) {
+                admit(now, output);
+            }
+            break;
+        }
+    }
+}
+
+bool HttpSession::beginRequest(TimePoint now, SessionOutput &output)
+{
+    const HttpRequestHead &head = parser_.head();
+    keepAlive_ = head.keepAlive;
+    enter(Phase::Body, now);
+    const bool withoutBody = head.contentLength && *head.contentLength == 0;
+    if (const auto reply = environment_.diagnostics(head.path()); reply && (head.method == "GET" || head.method == "HEAD")) {
+        const bool keepAlive = keepAlive_ && withoutBody;
+        output.bytes += AnswerWriter::plainReply(reply->status, reply->contentType, reply->body, keepAlive);
+        if (!keepAlive) {
+            enter(Phase::Closed, now);
+            output.fate = ConnectionFate::Close;
+            return false;
+        }
+        endRequest(now, output);
+        return phase_ != Phase::Closed;
+    }
+    context_.now = now;
+    context_.head = &head;
+    context_.view = environment_.view();
+    std::optional<ErrorReply> error = environment_.filters.applyToHead(context_);
+    if (!error && head.contentLength && !lease_.resize(*head.contentLength)) {
+        error = bufferFull();
+    }
+    if (error) {
+        // A body that nobody reads would be taken for the next request, so the connection ends unless there is none.
+        refuse(*error, keepAlive_ && withoutBody, output);
+        return phase_ != Phase::Closed;
+    }
+    if (head.expectsContinue && !withoutBody && parser_.pendingBytes() == 0) {
+        output.bytes += ContinueReply;
+    }
+    return true;
+}
+
+bool HttpSession::accountBody(SessionOutput &output)
+{
+    const std::size_t bytes = parser_.bodyBytes();
+    if (bytes <= lease_.size() || lease_.resize(bytes)) {
+        return true;
+    }
+    refuse(bufferFull(), false, output);
+    return false;
+}
+
+void HttpSession::admit(TimePoint now, SessionOutput &output)
+{
+    context_.body = parser_.takeBody();
+    if (const auto error = environment_.filters.applyToBody(context_)) {
+        refuse(*error, keepAlive_, output);
+        return;
+    }
+    context_.head = nullptr;
+    context_.workspace = nullptr;
+    context_.view = nullptr;
+    // The dispatcher and the transfers share the text and may hold it longer than this session, so the lease goes with it.
+    auto lease = std::make_shared<BufferLease>(environment_.budget);
+    const std::size_t bytes = context_.spec.prompt->size();
+    if (!lease_.resize(0) || !lease->resize(bytes)) {
+        refuse(bufferFull(), keepAlive_, output);
+        return;
+    }
+    context_.spec.prompt = SharedText(context_.spec.prompt.get(), [text = context_.spec.prompt, lease](const std::string *) {});
+    output.admitted = std::make_shared<const RequestSpec>(context_.spec);
+    context_.spec.prompt = nullptr;
+    writer_.emplace(context_.style, context_.requestId, keepAlive_);
+    enter(Phase::Answering, now);
+}
+
+void HttpSession::refuse(const ErrorReply &error, bool keepAlive, SessionOutput &output)
+{
+    environment_.metrics.increment("lentillock_entry_refused_total", {{"code", error.code}});
+    if (writer_ && writer_->hasBegun()) {
+        enter(Phase::Closed, since_);
+        output.fate = ConnectionFate::Abort;
+        return;
+    }
+    output.bytes += AnswerWriter::errorReply(error, context_.requestId, keepAlive);
+    if (!keepAlive) {
+        enter(Phase::Closed, since_);
+        output.fate = ConnectionFate::Close;
+        return;
+    }
+    writer_.reset();
+    (void)lease_.resize(0);
+    parser_.startNext();
+    enter(Phase::Idle, since_);
+}
+
+void HttpSession::endRequest(TimePoint now, SessionOutput &output)
+{
+    writer_.reset();
+    (void)lease_.resize(0);
+    if (overflow_) {
+        refuse({.status = 413,
+                .code = "pipeline_too_long",
+                .message = "more than " + std::to_string(environment_.limits.maxPipelinedBytes) + " bytes were sent before the answer to the previous request"},
+               false,
+               output);
+        return;
+    }
+    if (!keepAlive_) {
+        enter(Phase::Closed, now);
+        output.fate = ConnectionFate::Close;
+        return;
+    }
+    parser_.startNext();
+    enter(Phase::Idle, now);
+}
+
+void HttpSession::enter(Phase phase, TimePoint now)
+{
+    phase_ = phase;
+    since_ = now;
+    if (phase == Phase::Closed) {
+        writer_.reset();
+        (void)lease_.resize(0);
+    }
+}
+
+}
