--- a/src/engine/engineclient.h
+++ b/src/engine/engineclient.h
@@ -13,8 +13,7 @@
 {
 
 /// Actions of the dispatcher that concern endpoints.
-using EngineAction
-    = std::variant<StartAttempt, ResumeAttempt, CancelAttempt, ProbeAttempt, ProbeEndpoint, ReserveAllocation, PrefillPart, ReleaseAllocation>;
+using EngineAction = std::variant<StartAttempt, ResumeAttempt, CancelAttempt, ProbeAttempt, ProbeEndpoint, ReserveAllocation, PrefillPart, ReleaseAllocation>;
 
 struct EngineClientSettings {
     std::string owner; ///< "VM/INCARNATION", the first two parts of the owner tag of allocations.
--- a/src/entry/answerwriter.cpp
+++ b/src/entry/answerwriter.cpp
@@ -48,9 +48,8 @@
 
 std::string usage(const FinishRequest &end)
 {
-    return "{\"prompt_tokens\":" + std::to_string(end.promptTokens) + ",\"cached_tokens\":" + std::to_string(end.cachedTokens)
-        + ",\"completion_tokens\":" + std::to_string(end.completionTokens) + ",\"total_tokens\":" + std::to_string(end.promptTokens + end.completionTokens)
-        + '}';
+    return "{\"prompt_tokens\":" + std::to_string(end.promptTokens) + ",\"cached_tokens\":" + std::to_string(end.cachedTokens) + ",\"completion_tokens\":"
+        + std::to_string(end.completionTokens) + ",\"total_tokens\":" + std::to_string(end.promptTokens + end.completionTokens) + '}';
 }
 
 ErrorReply errorOf(const FinishRequest &end)
--- a/src/entry/callerconnection.h
+++ b/src/entry/callerconnection.h
@@ -28,7 +28,10 @@
         std::function<void(const RequestId &request)> abandoned;
     };
 
-    CallerConnection(const CallerServerSettings &settings, const SessionEnvironment &environment, const Events &events, std::weak_ptr<Pistache::Tcp::Peer> peer);
+    CallerConnection(const CallerServerSettings &settings,
+                     const SessionEnvironment &environment,
+                     const Events &events,
+                     std::weak_ptr<Pistache::Tcp::Peer> peer);
 
     void receive(std::string_view bytes);
     void write(const SendToCaller &part);
--- a/src/entry/completionbody.cpp
+++ b/src/entry/completionbody.cpp
@@ -279,7 +279,11 @@
             return !seen || fail(error, pointer(), "given more than once");
         }
         const std::string_view text = chat_ ? "messages" : "prompt";
-        bool *seen = name_ == "model" ? &hasModel_ : name_ == text ? &hasText_ : name_ == "max_tokens" ? &hasMaxTokens_ : name_ == "stream" ? &hasStream_ : nullptr;
+        bool *seen = name_ == "model" ? &hasModel_
+            : name_ == text           ? &hasText_
+            : name_ == "max_tokens"   ? &hasMaxTokens_
+            : name_ == "stream"       ? &hasStream_
+                                      : nullptr;
         if (seen == nullptr) {
             return fail(error, pointer(), "unknown member; known are model, " + std::string(text) + ", max_tokens and stream");
         }
--- a/src/entry/dispatchtask.cpp
+++ b/src/entry/dispatchtask.cpp
@@ -33,8 +33,15 @@
 
 DispatchTask::~DispatchTask()
 {
-    mailbox_.post(Stop{});
-    thread_.join();
+    stop();
+}
+
+void DispatchTask::stop()
+{
+    if (thread_.joinable()) {
+        mailbox_.post(Stop{});
+        thread_.join();
+    }
 }
 
 void DispatchTask::post(DispatchInput input)
--- a/src/entry/dispatchtask.h
+++ b/src/entry/dispatchtask.h
@@ -32,17 +32,19 @@
 
     DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs, Metrics &metrics);
 
-    /// Ends the task. Requests that are not done get no answer; post AbortAll before.
     ~DispatchTask();
 
     DispatchTask(const DispatchTask &) = delete;
     DispatchTask &operator=(const DispatchTask &) = delete;
 
+    /// Ends the task; later posts have no effect. Requests that are not done get no answer, so post AbortAll before.
+    void stop();
+
     /// Safe from any thread.
     void post(DispatchInput input);
     void post(std::vector<DispatchInput> inputs);
 
-    /// The following wait for the task's answer.
+    /// The following wait for the task's answer and must not be called after stop().
     [[nodiscard]] std::vector<bool> areActive(const std::vector<RequestId> &requests);
     [[nodiscard]] boost::json::object dumpState();
     [[nodiscard]] std::optional<boost::json::object> explain(const RequestId &request);
--- a/src/entry/errorreply.cpp
+++ b/src/entry/errorreply.cpp
@@ -17,8 +17,7 @@
 
 std::string errorBody(const ErrorReply &error, const std::string &requestId)
 {
-    boost::json::object members{
-        {"code", error.code}, {"message", error.message}, {"requestId", requestId}, {"runState", runStateName(error.runState)}};
+    boost::json::object members{{"code", error.code}, {"message", error.message}, {"requestId", requestId}, {"runState", runStateName(error.runState)}};
     if (error.retryAfter) {
         members["retryAfterMs"] = error.retryAfter->count();
     }
--- a/src/entry/filterchain.cpp
+++ b/src/entry/filterchain.cpp
@@ -1,13 +1,14 @@
 #include "entry/filterchain.h"
 
 #include "entry/completionbody.h"
+#include "routing/prefixblocks.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 
 namespace Lentillock
 {
@@ -17,9 +18,6 @@
 
 constexpr std::size_t MaxRequestIdBytes = 128;
 
-// A body of 8 MiB holds about a million tokens. The dispatcher's cost model corrects the estimate from the engines' answers.
-constexpr std::size_t BytesPerToken = 8;
-
 // Used when the document gives a workspace no timeouts.
 constexpr milliseconds FallbackTimeout{60'000};
 constexpr milliseconds FallbackMaxTimeout{600'000};
@@ -39,7 +37,8 @@
 
 bool equalIgnoringCase(std::string_view left, std::string_view right)
 {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+    return std::equal(
+        left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
 /// Whether a segment of the path is "." or "..", also in percent encoding. Endpoints may resolve such segments and leave the permitted prefix.
@@ -246,7 +245,8 @@
         return refusal(400, "invalid_idempotency_key", "Idempotency-Key must be a UUID of version 7");
     }
     context.spec.idempotencyKey = *key;
-    std::transform(key->begin(), key->end(), context.spec.idempotencyKey.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    std::transform(
+        key->begin(), key->end(), context.spec.idempotencyKey.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
     return std::nullopt;
 }
 
@@ -265,13 +265,12 @@
             context.style.model = body.model;
             context.spec.model = ModelId(std::move(body.model));
             context.spec.maxTokens = body.maxTokens;
-            context.spec.promptTokens = (body.prompt.size() + BytesPerToken - 1) / BytesPerToken;
+            context.spec.promptTokens = estimatedTokens(body.prompt);
+            context.spec.prefixBlocks = prefixBlockHashes(body.prompt, context.spec.cacheSalt);
             context.spec.prompt = std::make_shared<const std::string>(std::move(body.prompt));
             return {};
         },
-        [&](const BodyFault &fault) {
-            error = refusal(400, "invalid_body", (fault.pointer.empty() ? std::string() : fault.pointer + ": ") + fault.message);
-        },
+        [&](const BodyFault &fault) { error = refusal(400, "invalid_body", (fault.pointer.empty() ? std::string() : fault.pointer + ": ") + fault.message); },
         [&] { error = refusal(400, "invalid_body", "the body cannot be read"); });
     return error;
 }
--- a/src/entry/httprequestparser.cpp
+++ b/src/entry/httprequestparser.cpp
@@ -17,14 +17,8 @@
 namespace http = boost::beast::http;
 
 // Fields that decide about a request; two of them would leave open which one counts.
-constexpr std::array<std::string_view, 8> SingleFields{"authorization",
-                                                       "content-type",
-                                                       "host",
-                                                       "idempotency-key",
-                                                       "lentillock-idempotent",
-                                                       "lentillock-request-id",
-                                                       "lentillock-timeout-ms",
-                                                       "expect"};
+constexpr std::array<std::string_view, 8> SingleFields{
+    "authorization", "content-type", "host", "idempotency-key", "lentillock-idempotent", "lentillock-request-id", "lentillock-timeout-ms", "expect"};
 
 std::string lowerCase(std::string_view text)
 {
--- a/src/entry/workspacedirectory.cpp
+++ b/src/entry/workspacedirectory.cpp
@@ -28,9 +28,8 @@
             services_.push_back(&endpoint);
         }
     }
-    std::sort(services_.begin(), services_.end(), [](const Endpoint *left, const Endpoint *right) {
-        return left->pathPrefix.size() > right->pathPrefix.size();
-    });
+    std::sort(
+        services_.begin(), services_.end(), [](const Endpoint *left, const Endpoint *right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
 }
 
 const Workspace *WorkspaceDirectory::byToken(std::string_view token) const
--- /dev/null
+++ b/tests/entrysupport/scriptedendpoint.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "entrysupport/rawsocket.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// An endpoint that answers with exact bytes. Each connection has a thread.
+class ScriptedEndpoint
+{
+public:
+    struct Request {
+        std::string head; ///< With the empty line at its end.
+        std::string body;
+    };
+
+    /// Answers one request on its connection; returns false to close the connection.
+    using Handler = std::function<bool(RawSocket &connection, const Request &request)>;
+
+    explicit ScriptedEndpoint(Handler handler);
+    ~ScriptedEndpoint();
+    ScriptedEndpoint(const ScriptedEndpoint &) = delete;
+    ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] std::string address() const;
+
+    /// Request lines received so far.
+    [[nodiscard]] std::vector<std::string> requestLines() const;
+
+    /// The head of a streamed answer that ends with the connection.
+    static std::string streamHead();
+
+    /// An event with one chunk of text.
+    static std::string event(std::uint64_t position, std::uint64_t tokens, const std::string &text);
+
+    static std::string endEvent(std::uint64_t position);
+
+    /// A whole JSON answer.
+    static std::string json(int status, const std::string &body);
+
+private:
+    void serve(const std::shared_ptr<RawSocket> &connection);
+
+    Handler handler_;
+    RawListener listener_;
+    mutable std::mutex mutex_;
+    std::vector<std::string> requestLines_;
+    std::vector<std::shared_ptr<RawSocket>> connections_;
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+}
