--- a/src/engine/ssereader.h
+++ b/src/engine/ssereader.h
@@ -19,7 +19,7 @@
 class SseReader
 {
 public:
-    static constexpr std::size_t DefaultMaxEventBytes = 1024 * 1024;
+    static constexpr std::size_t DefaultMaxEventBytes = 1024UL * 1024;
 
     explicit SseReader(std::size_t maxEventBytes = DefaultMaxEventBytes);
 
--- a/src/entry/answerwriter.cpp
+++ b/src/entry/answerwriter.cpp
@@ -41,7 +41,7 @@
 }
 
 /// Keeps line ends of an endpoint's header out of the answer's head.
-std::string headerValue(std::string value)
+std::string headerValue(const std::string &value)
 {
     return value.substr(0, value.find_first_of("\r\n"));
 }
--- a/src/entry/completionbody.cpp
+++ b/src/entry/completionbody.cpp
@@ -23,10 +23,13 @@
 class CompletionBodyHandler
 {
 public:
+    // The parser fixes the names of these constants and of the functions below.
+    // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_array_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_key_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_string_size = std::numeric_limits<std::size_t>::max();
+    // NOLINTEND(readability-identifier-naming)
 
     explicit CompletionBodyHandler(bool chat)
         : chat_(chat)
@@ -36,7 +39,6 @@
     using ErrorCode = boost::json::error_code;
     using StringView = boost::json::string_view;
 
-    // The parser fixes the names of the following functions.
     // NOLINTBEGIN(readability-identifier-naming)
     bool on_document_begin(ErrorCode & /*error*/)
     {
--- a/src/entry/dispatchtask.cpp
+++ b/src/entry/dispatchtask.cpp
@@ -23,10 +23,9 @@
 
 }
 
-DispatchTask::DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs, Metrics &metrics)
+DispatchTask::DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs)
     : dispatcher_(std::move(dispatcher))
     , outputs_(std::move(outputs))
-    , metrics_(metrics)
     , thread_([this] { run(); })
 {
 }
--- a/src/entry/dispatchtask.h
+++ b/src/entry/dispatchtask.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/mailbox.h"
-#include "base/metrics.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/messages.h"
 
@@ -30,7 +29,7 @@
         std::function<void()> flush; ///< After each batch of actions.
     };
 
-    DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs, Metrics &metrics);
+    DispatchTask(std::unique_ptr<Dispatcher> dispatcher, Outputs outputs);
 
     ~DispatchTask();
 
@@ -64,7 +63,6 @@
 
     std::unique_ptr<Dispatcher> dispatcher_;
     Outputs outputs_;
-    Metrics &metrics_;
     Mailbox<Message> mailbox_;
     bool stopped_ = false;
     std::thread thread_;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -86,7 +86,7 @@
             [this](std::vector<DispatchInput> inputs) { dispatch_->post(std::move(inputs)); },
             metrics_);
         dispatch_ = std::make_unique<DispatchTask>(
-            std::make_unique<Dispatcher>(dispatcherSettings(settings_, incarnation_), std::make_unique<LeastOutstandingPolicy>()), outputs(), metrics_);
+            std::make_unique<Dispatcher>(dispatcherSettings(settings_, incarnation_), std::make_unique<LeastOutstandingPolicy>()), outputs());
         service_ = std::make_unique<EntryService>(settings_.grpc,
                                                   EntryService::Source{.vm = settings_.vm,
                                                                        .incarnation = incarnation_,
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -65,12 +65,12 @@
 const std::vector<EntryNumberSetting> &entryNumberSettings()
 {
     constexpr std::int64_t mebibyte = 1024LL * 1024;
-    static const std::vector<EntryNumberSetting> settings{
+    static const std::vector<EntryNumberSetting> Settings{
         {"threads", "threads", 1, 1, 64, "threads that read callers' requests"},
         {"maxConnections", "connections", 4096, 1, 100000, "callers' connections; further ones are closed"},
         {"maxHeadBytes", "bytes", 16384, 1024, mebibyte, "request line and headers of a request"},
         {"maxBodyBytes", "bytes", 12 * mebibyte, 1024, 64 * mebibyte, "body of a request"},
-        {"maxBufferedBytes", "bytes", 256 * mebibyte, mebibyte, 64 * 1024 * mebibyte, "all bodies and unsent answers together"},
+        {"maxBufferedBytes", "bytes", 256 * mebibyte, mebibyte, 65536 * mebibyte, "all bodies and unsent answers together"},
         {"maxAnswerBytes", "bytes", 16 * mebibyte, 1024, 64 * mebibyte, "answer that is not streamed"},
         {"maxBacklogBytes", "bytes", mebibyte, 1024, 64 * mebibyte, "unsent bytes of a streamed answer before its caller is disconnected"},
         {"maxPipelinedBytes", "bytes", 65536, 1024, mebibyte, "bytes received while a request is being answered"},
@@ -81,12 +81,12 @@
         {"maxViewAgeMs", "ms", 600000, 1000, 86400000, "age of the last view above which new requests are refused"},
         {"drainDelayMs", "ms", 5000, 0, 600000, "time between the first SIGTERM and the refusal of new requests"},
     };
-    return settings;
+    return Settings;
 }
 
 const std::vector<EntryTextSetting> &entryTextSettings()
 {
-    static const std::vector<EntryTextSetting> settings{
+    static const std::vector<EntryTextSetting> Settings{
         {"vm", true, "identifier of this VM; no slash"},
         {"zone", true, "availability zone of this VM; no slash"},
         {"callers", true, "address of the callers' HTTP server, IP:PORT"},
@@ -95,7 +95,7 @@
         {"controls", true, "gRPC addresses of control processes, the own VM's first"},
         {"vmList", false, "URL of the platform's VM list"},
     };
-    return settings;
+    return Settings;
 }
 
 std::optional<EntrySettings> readEntrySettings(std::string_view text, const std::string &source, Findings &findings)
--- a/src/entry/filterchain.cpp
+++ b/src/entry/filterchain.cpp
@@ -84,7 +84,7 @@
 
 std::optional<ErrorReply> FilterChain::applyToHead(RequestContext &context) const
 {
-    static constexpr std::array<Filter, 9> filters{&FilterChain::readRequestId,
+    static constexpr std::array<Filter, 9> Filters{&FilterChain::readRequestId,
                                                    &FilterChain::checkVersion,
                                                    &FilterChain::checkPath,
                                                    &FilterChain::requireView,
@@ -93,7 +93,7 @@
                                                    &FilterChain::checkContentType,
                                                    &FilterChain::readTimeout,
                                                    &FilterChain::readIdempotency};
-    for (const Filter filter : filters) {
+    for (const Filter filter : Filters) {
         if (auto error = (this->*filter)(context)) {
             return error;
         }
@@ -103,8 +103,8 @@
 
 std::optional<ErrorReply> FilterChain::applyToBody(RequestContext &context) const
 {
-    static constexpr std::array<Filter, 3> filters{&FilterChain::readBody, &FilterChain::checkModel, &FilterChain::checkLength};
-    for (const Filter filter : filters) {
+    static constexpr std::array<Filter, 3> Filters{&FilterChain::readBody, &FilterChain::checkModel, &FilterChain::checkLength};
+    for (const Filter filter : Filters) {
         if (auto error = (this->*filter)(context)) {
             return error;
         }
