--- a/src/config/configfold.cpp
+++ b/src/config/configfold.cpp
@@ -140,6 +140,7 @@
     decision.verdict = ConfigVerdict::Snapshot;
     const std::uint64_t offset = record.snapshot.throughOffset;
     const std::string digest = record.snapshot.digest();
+    decision.snapshotThrough = offset;
     const auto own = std::find_if(digests_.begin(), digests_.end(), [&](const auto &entry) { return entry.first == offset; });
     if (digest != record.digest || offset >= decision.offset || (own != digests_.end() && own->second != digest)) {
         decision.verdict = ConfigVerdict::SnapshotMismatch;
--- a/src/config/configfold.h
+++ b/src/config/configfold.h
@@ -55,6 +55,7 @@
     PublishRecord record; ///< Publish records only.
     std::uint64_t currentVersion = 0; ///< Version of the section before the record.
     std::string currentText; ///< Text of the section before the record; conflicts only.
+    std::uint64_t snapshotThrough = 0; ///< Last offset that is contained; snapshots only.
     Findings findings; ///< Why a record is not valid; warnings of an accepted one.
 
     bool operator==(const ConfigDecision &) const = default;
--- /dev/null
+++ b/src/config/configreader.cpp
@@ -0,0 +1,116 @@
+#include "config/configreader.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Lentillock
+{
+
+ConfigReader::ConfigReader(std::vector<ConfigRules> rules)
+    : rules_(std::move(rules))
+{
+}
+
+std::uint64_t ConfigReader::nextOffset() const
+{
+    return nextOffset_;
+}
+
+std::vector<ConfigDecision> ConfigReader::handleBatch(const LogBatch &batch)
+{
+    if (nextOffset_ == BeyondEnd) {
+        handleExpired(batch.earliest);
+        return {};
+    }
+    if (batch.earliest > nextOffset_) {
+        handleExpired(batch.earliest);
+        return {};
+    }
+    if (!fold_ && searchStart_ == FirstOffset) {
+        fold_.emplace(rules_);
+    }
+    std::vector<ConfigDecision> decisions;
+    for (const LogRecord &record : batch.records) {
+        if (record.offset < nextOffset_) {
+            continue;
+        }
+        nextOffset_ = record.offset + 1;
+        if (fold_) {
+            decisions.push_back(fold_->apply(record));
+        } else {
+            std::vector<ConfigDecision> found = search(record);
+            decisions.insert(decisions.end(), std::make_move_iterator(found.begin()), std::make_move_iterator(found.end()));
+        }
+    }
+    isAtEnd_ = batch.records.size() < MaxRecords;
+    return decisions;
+}
+
+std::vector<ConfigDecision> ConfigReader::search(const LogRecord &record)
+{
+    pending_.push_back(record);
+    const ConfigRecord decoded = decodeRecord(record.data, [](std::uint64_t) { return true; });
+    const auto *snapshot = std::get_if<SnapshotRecord>(&decoded);
+    if (snapshot == nullptr || snapshot->snapshot.throughOffset >= record.offset) {
+        return {};
+    }
+    if (snapshot->snapshot.throughOffset + 1 < searchStart_) {
+        // Records between the snapshot's state and the start of the log are lost.
+        return {};
+    }
+    std::optional<ConfigFold> fold = ConfigFold::restore(record.data, findings_, rules_);
+    return fold ? startFrom(std::move(*fold)) : std::vector<ConfigDecision>();
+}
+
+std::vector<ConfigDecision> ConfigReader::startFrom(ConfigFold fold)
+{
+    fold_ = std::move(fold);
+    std::vector<ConfigDecision> decisions;
+    for (const LogRecord &record : std::exchange(pending_, {})) {
+        if (record.offset >= fold_->nextOffset()) {
+            decisions.push_back(fold_->apply(record));
+        }
+    }
+    return decisions;
+}
+
+void ConfigReader::handleExpired(std::optional<std::uint64_t> earliest)
+{
+    fold_.reset();
+    pending_.clear();
+    isAtEnd_ = false;
+    searchStart_ = earliest.value_or(BeyondEnd);
+    nextOffset_ = searchStart_;
+}
+
+std::vector<ConfigDecision> ConfigReader::offerStart(const ConfigFold &fold)
+{
+    if (!lacksStart() || fold.nextOffset() < searchStart_) {
+        return {};
+    }
+    nextOffset_ = std::max(nextOffset_, fold.nextOffset());
+    return startFrom(fold);
+}
+
+const ConfigFold *ConfigReader::fold() const
+{
+    return fold_ ? &*fold_ : nullptr;
+}
+
+bool ConfigReader::isAtEnd() const
+{
+    return isAtEnd_;
+}
+
+bool ConfigReader::lacksStart() const
+{
+    return isAtEnd_ && !fold_;
+}
+
+const Findings &ConfigReader::findings() const
+{
+    return findings_;
+}
+
+}
