Rpc: Keep gRPC's callback threads alive for the life of a process

Cause: with all control processes killed, the entry aborted with "assertion failed: prior > 0" in grpc_cq_internal_unref. gRPC 1.51 joins its callback threads when the last channel is destroyed, and the last channel was destroyed inside a callback. Ruled out: an error in the order of members of ViewStream. Change: each process holds one channel from start to end (CallbackQueueHolder). The stand-in engine counts positions of a continuation from its beginning, as src/dispatch/messages.h says; before, the continuation was rejected as malformed and the retry budget ran out. Result: EndpointListedAsLeaving_WithAllControlProcessesDead and Engine_IsKilledInMidAnswer failed before and pass now. PlatformOutage_ControlProcessStartsAgain fails: the control process does not take the configuration from a peer yet.

--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -12,6 +12,7 @@
 #include "control/vmlisttask.h"
 #include "platform/httplogservice.h"
 #include "platform/httpvmlist.h"
+#include "rpc/callbackqueueholder.h"
 
 #include <boost/json/serialize.hpp>
 
@@ -136,6 +137,7 @@
     leaf::result<void> startServers();
     leaf::result<void> startTasks(UdpSocket socket);
 
+    const CallbackQueueHolder callbackQueue;
     ControlSettings settings;
     ControlAddresses addresses;
     Metrics metrics;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -10,6 +10,7 @@
 #include "entry/operatorsserver.h"
 #include "platform/httpvmlist.h"
 #include "routing/routingpolicy.h"
+#include "rpc/callbackqueueholder.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -271,6 +272,7 @@
         return selected == nullptr ? boost::json::value(nullptr) : *selected;
     }
 
+    const CallbackQueueHolder callbackQueue_;
     EntrySettings settings_;
     std::uint64_t incarnation_;
     Metrics metrics_;
--- a/tests/integration/testfleet.cpp
+++ b/tests/integration/testfleet.cpp
@@ -224,7 +224,10 @@
 
 void TestFleet::fault(const std::string &baseUrl, const std::string &body)
 {
-    sendRequest({"POST", baseUrl + "/fault", {"Content-Type: application/json"}, body, std::chrono::milliseconds(2000)});
+    const HttpAnswer answer = sendRequest({"POST", baseUrl + "/fault", {"Content-Type: application/json"}, body, std::chrono::milliseconds(2000)});
+    if (answer.status != 200 && answer.status != 204) {
+        throw std::runtime_error("the stand-in refused the fault: " + answer.body + answer.error);
+    }
 }
 
 bool TestFleet::waitFor(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -147,7 +147,8 @@
         work.allocation = kvReader->string("allocation", "");
         work.importedTokens = importCount(kvReader->member("imports")) * estimatedTokens(prompt);
     }
-    work.firstPosition = std::min(work.maxTokens, continuation.size() / GeneratedTokenBytes);
+    work.firstPosition = continuation.size() / GeneratedTokenBytes;
+    work.maxTokens += work.firstPosition;
     work.promptTokens = estimatedTokens(prompt) + work.firstPosition;
     work.prefixBlocks = prefixBlockHashes(prompt, reader->string("cache_salt", ""));
     const std::string priority = header(request, "x-priority");
@@ -222,12 +223,12 @@
 {
     const auto found = answers_.find(id);
     const std::uint64_t from = queryNumber(request, "from");
-    if (found == answers_.end() || from < found->second.firstPosition) {
-        refuse(answer, 404, "the request or the position is not known", "unknown");
+    if (found == answers_.end()) {
+        refuse(answer, 404, "the request is not known", "unknown");
         return;
     }
     answer->beginStream();
-    found->second.streams.push_back({answer, from, silences_});
+    found->second.streams.push_back({answer, found->second.firstPosition + from, silences_});
     changed_.notify_all();
 }
 
@@ -238,7 +239,8 @@
     if (status) {
         const bool waiting = status->phase == EngineRequestPhase::Queued;
         body["state"] = waiting ? "queued" : status->phase == EngineRequestPhase::Finished ? "finished" : "running";
-        body["position"] = status->position;
+        const auto answered = answers_.find(id);
+        body["position"] = status->position - (answered == answers_.end() ? 0 : answered->second.firstPosition);
     }
     answer->send(200, boost::json::serialize(body));
 }
@@ -392,7 +394,7 @@
     if (status->position > stream.position) {
         const boost::json::object data{{"text", generatedText(answer.prompt, stream.position, status->position)},
                                        {"tokens", status->position - stream.position}};
-        stream.answer->sendChunk("id: " + std::to_string(stream.position) + "\ndata: " + boost::json::serialize(data) + "\n\n");
+        stream.answer->sendChunk("id: " + std::to_string(stream.position - answer.firstPosition) + "\ndata: " + boost::json::serialize(data) + "\n\n");
         stream.position = status->position;
     }
     if (finished) {
@@ -405,8 +407,9 @@
 {
     const boost::json::object usage{
         {"prompt_tokens", answer.promptTokens}, {"completion_tokens", status.position - answer.firstPosition}, {"cached_tokens", status.cachedTokens}};
-    const boost::json::object data{{"finish", "stop"}, {"position", status.position}, {"usage", usage}};
-    stream.answer->sendChunk("id: " + std::to_string(status.position) + "\ndata: " + boost::json::serialize(data) + "\n\n");
+    const std::uint64_t end = status.position - answer.firstPosition;
+    const boost::json::object data{{"finish", "stop"}, {"position", end}, {"usage", usage}};
+    stream.answer->sendChunk("id: " + std::to_string(end) + "\ndata: " + boost::json::serialize(data) + "\n\n");
     stream.answer->endStream();
 }
 
