Routing: Route by expected time to first token

Cause: with the baselines, short requests share engines with long prefills and prompts of 100k and more tokens wait for memory that many other requests hold. Change: ExpectedFirstTokenPolicy with CostModel (learnt from answers), PrefixIndex, WorkDemand and EndpointPartition. Engines are divided over short, medium and long work by demand and objectives; requests that lack memory are held back for a quarter of their time; choices are random in proportion to the work that an endpoint takes until the next report.

--- /dev/null
+++ b/src/routing/prefixindex.cpp
@@ -0,0 +1,148 @@
+#include "routing/prefixindex.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace Lentillock
+{
+
+PrefixIndex::PrefixIndex(std::size_t maxBlocks)
+    : maxBlocks_(maxBlocks)
+{
+}
+
+void PrefixIndex::stored(TimePoint now, const EndpointId &endpoint, const std::vector<std::uint64_t> &blocks)
+{
+    // From the last block to the first, so that the shortest prefixes become the most recently used.
+    for (const std::uint64_t block : std::ranges::reverse_view(blocks)) {
+        add(now, endpoint, block);
+    }
+}
+
+void PrefixIndex::missed(const EndpointId &endpoint, const std::vector<std::uint64_t> &blocks, std::size_t first)
+{
+    for (std::size_t i = first; i < blocks.size(); ++i) {
+        remove(endpoint, blocks[i]);
+    }
+}
+
+void PrefixIndex::cacheEvent(
+    TimePoint now, const EndpointId &endpoint, const std::string &generation, std::uint64_t sequence, bool wasStored, std::uint64_t block)
+{
+    EventSource &source = sources_[endpoint];
+    if (source.generation != generation) {
+        if (!source.generation.empty()) {
+            forget(endpoint);
+        }
+        source = {generation, sequence - 1};
+    }
+    if (sequence <= source.sequence) {
+        return;
+    }
+    missedEvents_ += sequence - source.sequence - 1;
+    source.sequence = sequence;
+    if (wasStored) {
+        add(now, endpoint, block);
+    } else {
+        remove(endpoint, block);
+    }
+}
+
+void PrefixIndex::forget(const EndpointId &endpoint)
+{
+    std::vector<std::uint64_t> known(recent_.begin(), recent_.end());
+    for (const std::uint64_t block : known) {
+        remove(endpoint, block);
+    }
+}
+
+std::vector<PrefixIndex::Match> PrefixIndex::lookup(TimePoint now, const std::vector<std::uint64_t> &blocks) const
+{
+    std::vector<Match> matches;
+    if (blocks.empty()) {
+        return matches;
+    }
+    // Steps double until no endpoint holds the block; then the interval is halved.
+    std::size_t held = 0;
+    std::size_t step = 1;
+    while (held + step <= blocks.size() && isHeld(now, blocks[held + step - 1])) {
+        held += step;
+        raiseMatches(now, blocks[held - 1], held, matches);
+        step *= 2;
+    }
+    for (step = std::min(step, blocks.size() - held); step > 0; step /= 2) {
+        if (held + step <= blocks.size() && isHeld(now, blocks[held + step - 1])) {
+            held += step;
+            raiseMatches(now, blocks[held - 1], held, matches);
+        }
+    }
+    return matches;
+}
+
+std::size_t PrefixIndex::size() const
+{
+    return blocks_.size();
+}
+
+std::uint64_t PrefixIndex::missedEvents() const
+{
+    return missedEvents_;
+}
+
+void PrefixIndex::add(TimePoint now, const EndpointId &endpoint, std::uint64_t block)
+{
+    const auto [found, isNew] = blocks_.try_emplace(block);
+    Block &entry = found->second;
+    if (isNew) {
+        recent_.push_front(block);
+        entry.recent = recent_.begin();
+    } else {
+        recent_.splice(recent_.begin(), recent_, entry.recent);
+    }
+    std::erase_if(entry.holders, [&](const Holder &holder) { return holder.endpoint == endpoint || holder.expires <= now; });
+    if (entry.holders.size() == MaxHolders) {
+        entry.holders.erase(entry.holders.begin());
+    }
+    entry.holders.push_back({endpoint, now + Lifetime});
+    if (blocks_.size() > maxBlocks_) {
+        blocks_.erase(recent_.back());
+        recent_.pop_back();
+    }
+}
+
+void PrefixIndex::remove(const EndpointId &endpoint, std::uint64_t block)
+{
+    const auto found = blocks_.find(block);
+    if (found == blocks_.end()) {
+        return;
+    }
+    std::erase_if(found->second.holders, [&endpoint](const Holder &holder) { return holder.endpoint == endpoint; });
+    if (found->second.holders.empty()) {
+        recent_.erase(found->second.recent);
+        blocks_.erase(found);
+    }
+}
+
+void PrefixIndex::raiseMatches(TimePoint now, std::uint64_t block, std::size_t count, std::vector<Match> &matches) const
+{
+    for (const Holder &holder : blocks_.at(block).holders) {
+        if (holder.expires <= now) {
+            continue;
+        }
+        const auto known = std::find_if(matches.begin(), matches.end(), [&holder](const Match &match) { return match.endpoint == holder.endpoint; });
+        if (known == matches.end()) {
+            matches.push_back({holder.endpoint, count});
+        } else {
+            known->blocks = count;
+        }
+    }
+}
+
+bool PrefixIndex::isHeld(TimePoint now, std::uint64_t block) const
+{
+    const auto found = blocks_.find(block);
+    return found != blocks_.end()
+        && std::any_of(found->second.holders.begin(), found->second.holders.end(), [now](const Holder &holder) { return holder.expires > now; });
+}
+
+}
--- a/src/routing/routingpolicy.cpp
+++ b/src/routing/routingpolicy.cpp
@@ -5,6 +5,10 @@
 namespace Lentillock
 {
 
+void RoutingPolicy::requestArrived(TimePoint /*now*/, const RouteRequest & /*request*/)
+{
+}
+
 void RoutingPolicy::attemptStarted(TimePoint /*now*/, const RouteRequest & /*request*/, const EndpointId & /*endpoint*/)
 {
 }
--- a/src/routing/routingpolicy.h
+++ b/src/routing/routingpolicy.h
@@ -21,6 +21,8 @@
     std::vector<EndpointId> excluded; ///< Endpoints that have failed for this request.
     ZoneId zone; ///< Availability zone of the entry.
     TimePoint deadline;
+    TimePoint arrival; ///< When the request came in; a policy may hold back a request only for a part of the time from here to the deadline.
+    ModelId model;
 };
 
 struct RouteChoice {
@@ -49,10 +51,12 @@
     RoutingPolicy &operator=(const RoutingPolicy &) = delete;
     virtual ~RoutingPolicy() = default;
 
-    /// Returns nothing when no candidate can take the request. @p random breaks ties.
+    /// Returns nothing when no candidate can take the request now; it is to be tried again when the fleet has changed. @p random breaks ties.
     [[nodiscard]] virtual std::optional<RouteChoice>
     choose(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const = 0;
 
+    /// The request has come in and may have to wait.
+    virtual void requestArrived(TimePoint now, const RouteRequest &request);
     /// An attempt for @p request has been started on @p endpoint.
     virtual void attemptStarted(TimePoint now, const RouteRequest &request, const EndpointId &endpoint);
     /// The answer is whole.
--- a/tests/bench/benchentry.cpp
+++ b/tests/bench/benchentry.cpp
@@ -36,6 +36,9 @@
     active.route.prefixBlocks = request.prefixBlocks;
     active.route.zone = zone_;
     active.route.deadline = active.arrival + request.timeout;
+    active.route.arrival = active.arrival;
+    active.route.model = ModelId(request.deskModel ? "desk" : "reader");
+    policy_->requestArrived(events_.now(), active.route);
     const QueueEntry entry{RequestId(request.id), active.route.workspace, 0, request.promptTokens, active.arrival, active.route.deadline};
     active_[request.id] = std::move(active);
     if (!queue_.push(entry)) {
@@ -69,7 +72,7 @@
 
 std::vector<BenchEntry::Part> BenchEntry::choosePlaces(Active &active)
 {
-    const std::vector<FleetState::Candidate> candidates = state_.candidatesForModel(ModelId(active.request.deskModel ? "desk" : "reader"));
+    const std::vector<FleetState::Candidate> candidates = state_.candidatesForModel(active.route.model);
     const std::uint64_t count = (active.request.promptTokens + MaxPartTokens - 1) / MaxPartTokens;
     const std::uint64_t tokens = active.request.promptTokens / count;
     RouteRequest route = active.route;
@@ -119,8 +122,11 @@
     active.prefillTokensAhead = state_.inFlight(active.parts.front().endpoint).prefillTokens;
     for (const Part &part : active.parts) {
         state_.attemptStarted(AttemptId(part.id), part.endpoint, part.tokens, active.request.maxTokens);
+        RouteRequest route = active.route;
+        route.promptTokens = part.tokens;
+        route.prefixBlocks.resize(&part == &active.parts.front() ? std::min<std::size_t>(route.prefixBlocks.size(), part.tokens / PrefixBlockTokens) : 0);
+        policy_->attemptStarted(events_.now(), route, part.endpoint);
     }
-    policy_->attemptStarted(events_.now(), active.route, active.parts.front().endpoint);
     events_.after(fleet_.delay(zone_, active.parts.front().endpoint), [this, id, attempt = active.attempts] { submitPart(id, attempt); });
 }
 
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "bench/baselines.h"
 #include "bench/benchreport.h"
+#include "routing/expectedfirsttokenpolicy.h"
 
 #include <boost/program_options.hpp>
 
@@ -21,10 +22,22 @@
     return {name, {}, [](const ServingDocument &, std::uint64_t) { return std::make_unique<Policy>(); }};
 }
 
+BenchPolicy expectedFirstToken(const std::string &name, const Objectives &objectives)
+{
+    return {name, objectives, [](const ServingDocument &document, std::uint64_t) {
+                return std::make_unique<ExpectedFirstTokenPolicy>(document.objectives, document.links);
+            }};
+}
+
 std::vector<BenchPolicy> allPolicies()
 {
-    return {
-        baseline<RoundRobinPolicy>("round-robin"), baseline<LeastOutstandingPolicy>("least-outstanding"), baseline<PrefixAffinityPolicy>("prefix-affinity")};
+    return {expectedFirstToken("expected-equal", {1, 1}),
+            expectedFirstToken("expected-utility", {4, 1}),
+            expectedFirstToken("expected-consortium", {1, 4}),
+
+            baseline<RoundRobinPolicy>("round-robin"),
+            baseline<LeastOutstandingPolicy>("least-outstanding"),
+            baseline<PrefixAffinityPolicy>("prefix-affinity")};
 }
 
 std::vector<Situation> allSituations()
