--- a/src/routing/prefixindex.cpp
+++ b/src/routing/prefixindex.cpp
@@ -1,7 +1,6 @@
 #include "routing/prefixindex.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace Lentillock
 {
@@ -14,8 +13,8 @@
 void PrefixIndex::stored(TimePoint now, const EndpointId &endpoint, const std::vector<std::uint64_t> &blocks)
 {
     // From the last block to the first, so that the shortest prefixes become the most recently used.
-    for (const std::uint64_t block : std::ranges::reverse_view(blocks)) {
-        add(now, endpoint, block);
+    for (std::size_t i = blocks.size(); i > 0; --i) {
+        add(now, endpoint, blocks[i - 1]);
     }
 }
 
