Routing: Keep a buffer between the endpoints of short and medium work

Cause: entries see slightly different demand, so their divisions differ by an endpoint or two; what one keeps for short work another uses for medium work. Long work used the short endpoints after a quarter of its time. Change: medium work avoids the endpoints next to the boundary; long work uses short endpoints after 0.6 of its time.

--- a/src/routing/endpointpartition.cpp
+++ b/src/routing/endpointpartition.cpp
@@ -15,6 +15,8 @@
 constexpr double MinShortHeadroom = 2;
 constexpr double MaxShortHeadroom = 10;
 constexpr double MediumHeadroom = 1.3;
+/// One endpoint, and one more for each so many endpoints of the short class, is a buffer.
+constexpr std::size_t BufferDivisor = 4;
 
 double shortHeadroom(const Objectives &objectives)
 {
@@ -47,10 +49,14 @@
 EndpointPartition::EndpointPartition(const std::vector<FleetState::Candidate> &candidates, const WorkDemand &demand, const Objectives &objectives)
 {
     assignCounts(candidates.size(), demand, objectives);
+    const std::size_t endpoints = candidates.size();
     std::size_t index = 0;
     for (const Endpoint *endpoint : orderedByZone(candidates)) {
         const bool isLong = index < count(WorkClass::Long);
         const bool isMedium = index < count(WorkClass::Long) + count(WorkClass::Medium);
+        if (isMedium && index + 1 + count(WorkClass::Short) / BufferDivisor >= endpoints - count(WorkClass::Short)) {
+            buffers_.insert(endpoint);
+        }
         homes_[endpoint] = isLong ? WorkClass::Long : isMedium ? WorkClass::Medium : WorkClass::Short;
         ++index;
     }
@@ -62,6 +68,11 @@
     return found == homes_.end() ? WorkClass::Medium : found->second;
 }
 
+bool EndpointPartition::isBuffer(const Endpoint *endpoint) const
+{
+    return buffers_.contains(endpoint);
+}
+
 std::size_t EndpointPartition::count(WorkClass workClass) const
 {
     return counts_.at(static_cast<std::size_t>(workClass));
--- a/src/routing/endpointpartition.h
+++ b/src/routing/endpointpartition.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Lentillock
@@ -25,6 +26,9 @@
     /// The class for which the endpoint is kept. Endpoints that were not among the candidates belong to the medium class.
     [[nodiscard]] WorkClass home(const Endpoint *endpoint) const;
 
+    /// Whether other entries, whose demand differs a little, may keep the endpoint for short work.
+    [[nodiscard]] bool isBuffer(const Endpoint *endpoint) const;
+
     [[nodiscard]] std::size_t count(WorkClass workClass) const;
     [[nodiscard]] std::size_t size() const;
 
@@ -33,6 +37,7 @@
 
     std::array<std::size_t, WorkClasses> counts_{};
     std::unordered_map<const Endpoint *, WorkClass> homes_;
+    std::unordered_set<const Endpoint *> buffers_;
 };
 
 }
--- a/src/routing/expectedfirsttokenpolicy.cpp
+++ b/src/routing/expectedfirsttokenpolicy.cpp
@@ -32,6 +32,8 @@
 constexpr double DecodeSlowdownPerRunning = 0.02;
 /// A request may be held back for this part of the time to its deadline before it queues at an endpoint that lacks memory.
 constexpr double HoldingShare = 0.25;
+/// And for this part before it uses an endpoint that is kept for short work.
+constexpr double ShortUseShare = 0.6;
 /// Seconds of cost when an endpoint lacks all its memory for the request.
 constexpr double BlockedSeconds = 60;
 /// Seconds of cost per unit of a link's cost.
@@ -131,7 +133,9 @@
     plan.workClass = workClassOf(request.promptTokens);
     plan.prefillSeconds = costs_.prefillSeconds(request.promptTokens, 0);
     plan.decodeSeconds = static_cast<double>(request.maxTokens) * costs_.decodeSecondsPerToken();
-    plan.mayBlock = seconds(now - request.arrival) >= HoldingShare * seconds(request.deadline - request.arrival);
+    const double waited = seconds(now - request.arrival) / std::max(1e-9, seconds(request.deadline - request.arrival));
+    plan.mayBlock = waited >= HoldingShare;
+    plan.mayUseShort = waited >= ShortUseShare;
     plan.matches = prefixes_.lookup(now, request.prefixBlocks);
     for (const FleetState::Candidate &candidate : candidates) {
         if (const LoadReport *load = report(candidate)) {
@@ -179,7 +183,7 @@
     const Load current = load(now, candidate);
     const std::uint64_t needed = plan.request.promptTokens + plan.request.maxTokens;
     const std::uint64_t missing = needed - std::min(needed, current.freeTokens);
-    if (!plan.mayBlock && (missing > 0 || isKeptForShort(plan, candidate))) {
+    if ((missing > 0 && !plan.mayBlock) || (isKeptForShort(plan, candidate) && !plan.mayUseShort)) {
         return std::nullopt;
     }
     const double prefill = prefillSeconds(plan, id);
@@ -238,7 +242,8 @@
 double ExpectedFirstTokenPolicy::harm(const Plan &plan, const FleetState::Candidate &candidate, double prefill) const
 {
     const WorkClass home = plan.partition->home(candidate.endpoint);
-    if (home == plan.workClass) {
+    const bool mayDisturb = plan.workClass != WorkClass::Short && plan.partition->isBuffer(candidate.endpoint);
+    if (home == plan.workClass && !mayDisturb) {
         return 0;
     }
     if (plan.workClass == WorkClass::Short) {
--- a/src/routing/expectedfirsttokenpolicy.h
+++ b/src/routing/expectedfirsttokenpolicy.h
@@ -60,7 +60,8 @@
         WorkClass workClass = WorkClass::Short;
         double prefillSeconds = 0; ///< Without prefix reuse.
         double decodeSeconds = 0;
-        bool mayBlock = false; ///< The request has waited long enough to use an endpoint that lacks memory or is kept for short work.
+        bool mayBlock = false; ///< The request has waited long enough to queue at an endpoint that lacks memory for it.
+        bool mayUseShort = false; ///< It has waited long enough to use an endpoint that is kept for short work.
         std::vector<PrefixIndex::Match> matches;
         TimePoint newestReport;
         const EndpointPartition *partition = nullptr;
