Routing: Give short work more headroom and a wider buffer

Cause: with 2 to 3 endpoints for short work, their prefills slow each other's decoding. Change: headroom 5 -> 7 (at most 14), one buffer endpoint for each 2 instead of each 4 short endpoints.

--- a/src/routing/endpointpartition.cpp
+++ b/src/routing/endpointpartition.cpp
@@ -11,12 +11,12 @@
 {
 
 /// Short work is given this many times its share of the work, so that its engines compute prefills only for a small part of the time.
-constexpr double ShortHeadroom = 5;
+constexpr double ShortHeadroom = 7;
 constexpr double MinShortHeadroom = 2;
-constexpr double MaxShortHeadroom = 10;
+constexpr double MaxShortHeadroom = 14;
 constexpr double MediumHeadroom = 1.3;
 /// One endpoint, and one more for each so many endpoints of the short class, is a buffer.
-constexpr std::size_t BufferDivisor = 4;
+constexpr std::size_t BufferDivisor = 2;
 
 double shortHeadroom(const Objectives &objectives)
 {
