Routing: Order the queue by age, class and fairness to workspaces

Cause: the queue was ordered by priority alone, so held long work could starve and one workspace could fill it. Change: requests that have waited a quarter of their time go first by deadline; then priority, short before long, and a virtual start time per workspace. The queue tells how much work waits per class and workspace.

--- a/src/routing/admissionqueue.cpp
+++ b/src/routing/admissionqueue.cpp
@@ -1,6 +1,7 @@
 #include "routing/admissionqueue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Lentillock
 {
@@ -15,27 +16,62 @@
     if (entries_.size() >= maxLength_) {
         return false;
     }
-    entries_.push_back(entry);
+    const WorkClass workClass = workClassOf(entry.promptTokens);
+    double &virtualEnd = virtualEnd_[entry.workspace];
+    const double virtualStart = std::max(virtualTime_, virtualEnd);
+    virtualEnd = virtualStart + static_cast<double>(entry.promptTokens);
+    entries_.push_back({entry, workClass, virtualStart});
+    waitingTokens_.at(static_cast<std::size_t>(workClass))[entry.workspace] += entry.promptTokens;
     return true;
 }
 
 void AdmissionQueue::remove(const RequestId &request)
 {
-    std::erase_if(entries_, [&request](const QueueEntry &entry) { return entry.request == request; });
+    const auto found = std::find_if(entries_.begin(), entries_.end(), [&request](const Waiting &waiting) { return waiting.entry.request == request; });
+    if (found == entries_.end()) {
+        return;
+    }
+    const Waiting removed = *found;
+    entries_.erase(found);
+    forget(removed);
+}
+
+void AdmissionQueue::forget(const Waiting &waiting)
+{
+    virtualTime_ = std::max(virtualTime_, waiting.virtualStart);
+    TokensByWorkspace &tokens = waitingTokens_.at(static_cast<std::size_t>(waiting.workClass));
+    const WorkspaceId &workspace = waiting.entry.workspace;
+    const auto sameWorkspace = [&workspace](const Waiting &other) { return other.entry.workspace == workspace; };
+    const auto sameClass = [&waiting, &sameWorkspace](const Waiting &other) { return sameWorkspace(other) && other.workClass == waiting.workClass; };
+    tokens[workspace] -= waiting.entry.promptTokens;
+    if (std::none_of(entries_.begin(), entries_.end(), sameClass)) {
+        tokens.erase(workspace);
+    }
+    // An end in the virtual past has no effect any more.
+    std::erase_if(virtualEnd_, [this](const auto &end) { return end.second <= virtualTime_; });
 }
 
-std::vector<RequestId> AdmissionQueue::order(TimePoint /*now*/) const
+std::vector<RequestId> AdmissionQueue::order(TimePoint now) const
 {
-    std::vector<const QueueEntry *> sorted;
+    std::vector<std::pair<bool, const Waiting *>> sorted;
     sorted.reserve(entries_.size());
-    for (const QueueEntry &entry : entries_) {
-        sorted.push_back(&entry);
+    for (const Waiting &waiting : entries_) {
+        sorted.emplace_back(isAged(waiting.entry, now), &waiting);
     }
-    std::stable_sort(sorted.begin(), sorted.end(), [](const QueueEntry *left, const QueueEntry *right) { return left->priority > right->priority; });
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto &left, const auto &right) {
+        if (left.first != right.first) {
+            return left.first;
+        }
+        if (left.first) {
+            return left.second->entry.deadline < right.second->entry.deadline;
+        }
+        return std::tuple(-left.second->entry.priority, left.second->workClass, left.second->virtualStart)
+            < std::tuple(-right.second->entry.priority, right.second->workClass, right.second->virtualStart);
+    });
     std::vector<RequestId> result;
     result.reserve(sorted.size());
-    for (const QueueEntry *entry : sorted) {
-        result.push_back(entry->request);
+    for (const auto &[aged, waiting] : sorted) {
+        result.push_back(waiting->entry.request);
     }
     return result;
 }
@@ -45,4 +81,30 @@
     return entries_.size();
 }
 
+std::uint64_t AdmissionQueue::waitingTokens(WorkClass workClass) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[workspace, tokens] : waitingTokens_.at(static_cast<std::size_t>(workClass))) {
+        sum += tokens;
+    }
+    return sum;
+}
+
+std::uint64_t AdmissionQueue::waitingTokens(WorkClass workClass, const WorkspaceId &workspace) const
+{
+    const TokensByWorkspace &tokens = waitingTokens_.at(static_cast<std::size_t>(workClass));
+    const auto found = tokens.find(workspace);
+    return found == tokens.end() ? 0 : found->second;
+}
+
+std::size_t AdmissionQueue::waitingWorkspaces(WorkClass workClass) const
+{
+    return waitingTokens_.at(static_cast<std::size_t>(workClass)).size();
+}
+
+bool AdmissionQueue::isAged(const QueueEntry &entry, TimePoint now)
+{
+    return now - entry.arrival >= (entry.deadline - entry.arrival) * AgedShare;
+}
+
 }
