Routing: Refuse work early under overload

Cause: at 130 % load, long requests were accepted and then passed their deadline in the queue. The bench uses it with the expected-first-token policies.

--- a/tests/bench/benchentry.cpp
+++ b/tests/bench/benchentry.cpp
@@ -6,8 +6,13 @@
 namespace Lentillock
 {
 
-BenchEntry::BenchEntry(
-    EventQueue &events, SimulatedFleet &fleet, ZoneId zone, std::unique_ptr<RoutingPolicy> policy, std::uint64_t seed, ResultHandler onResult)
+BenchEntry::BenchEntry(EventQueue &events,
+                       SimulatedFleet &fleet,
+                       ZoneId zone,
+                       std::unique_ptr<RoutingPolicy> policy,
+                       bool refusesOverload,
+                       std::uint64_t seed,
+                       ResultHandler onResult)
     : events_(events)
     , fleet_(fleet)
     , zone_(std::move(zone))
@@ -15,6 +20,7 @@
     , random_(seed)
     , onResult_(std::move(onResult))
     , queue_(MaxQueueLength)
+    , refusesOverload_(refusesOverload)
 {
     state_.setView(fleet_.currentView());
 }
@@ -41,7 +47,8 @@
     policy_->requestArrived(events_.now(), active.route);
     const QueueEntry entry{RequestId(request.id), active.route.workspace, 0, request.promptTokens, active.arrival, active.route.deadline};
     active_[request.id] = std::move(active);
-    if (!queue_.push(entry)) {
+    const bool isRefused = refusesOverload_ && overload_.refuse(events_.now(), entry, queue_).has_value();
+    if (isRefused || !queue_.push(entry)) {
         finish(request.id, BenchOutcome::Refused);
         return;
     }
@@ -55,6 +62,7 @@
         const auto found = active_.find(id.value());
         if (found != active_.end() && place(id.value(), found->second)) {
             queue_.remove(id);
+            overload_.dispatched(events_.now(), found->second.request.promptTokens);
             begin(id.value(), found->second);
         }
     }
--- a/tests/bench/benchentry.h
+++ b/tests/bench/benchentry.h
@@ -6,6 +6,7 @@
 #include "bench/simulatedfleet.h"
 #include "routing/admissionqueue.h"
 #include "routing/fleetstate.h"
+#include "routing/overloadcontrol.h"
 #include "routing/prefixblocks.h"
 #include "routing/routingpolicy.h"
 
@@ -24,7 +25,13 @@
 public:
     using ResultHandler = std::function<void(const BenchResult &)>;
 
-    BenchEntry(EventQueue &events, SimulatedFleet &fleet, ZoneId zone, std::unique_ptr<RoutingPolicy> policy, std::uint64_t seed, ResultHandler onResult);
+    BenchEntry(EventQueue &events,
+               SimulatedFleet &fleet,
+               ZoneId zone,
+               std::unique_ptr<RoutingPolicy> policy,
+               bool refusesOverload,
+               std::uint64_t seed,
+               ResultHandler onResult);
 
     void arrive(const BenchRequest &request);
     /// Takes a new view of the fleet and tries the waiting requests.
@@ -78,6 +85,8 @@
     ResultHandler onResult_;
     FleetState state_;
     AdmissionQueue queue_;
+    bool refusesOverload_;
+    OverloadControl overload_;
     std::map<std::string, Active> active_;
 };
 
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -19,14 +19,15 @@
 template<typename Policy>
 BenchPolicy baseline(const std::string &name)
 {
-    return {name, {}, [](const ServingDocument &, std::uint64_t) { return std::make_unique<Policy>(); }};
+    return {name, {}, [](const ServingDocument &, std::uint64_t) { return std::make_unique<Policy>(); }, false};
 }
 
 BenchPolicy expectedFirstToken(const std::string &name, const Objectives &objectives)
 {
-    return {name, objectives, [](const ServingDocument &document, std::uint64_t) {
-                return std::make_unique<ExpectedFirstTokenPolicy>(document.objectives, document.links);
-            }};
+    return {name,
+            objectives,
+            [](const ServingDocument &document, std::uint64_t) { return std::make_unique<ExpectedFirstTokenPolicy>(document.objectives, document.links); },
+            true};
 }
 
 std::vector<BenchPolicy> allPolicies()
--- a/tests/bench/situation.cpp
+++ b/tests/bench/situation.cpp
@@ -32,7 +32,7 @@
         for (std::size_t i = 0; i < EntryCount; ++i) {
             const ZoneId zone("zone-" + std::to_string(i % SimulatedFleet::ZoneCount));
             entries_.push_back(std::make_unique<BenchEntry>(
-                events_, fleet_, zone, policy.make(fleet_.document(), seed + i), seed + 100 + i, [this](const BenchResult &result) {
+                events_, fleet_, zone, policy.make(fleet_.document(), seed + i), policy.refusesOverload, seed + 100 + i, [this](const BenchResult &result) {
                     if (result.arrival >= start_ + WarmUp) {
                         result_.requests.push_back(result);
                     }
--- a/tests/bench/situation.h
+++ b/tests/bench/situation.h
@@ -20,6 +20,7 @@
     std::string name;
     Objectives objectives;
     PolicyFactory make;
+    bool refusesOverload = false;
 };
 
 /// What happens during a run.
