--- a/src/control/configstate.h
+++ b/src/control/configstate.h
@@ -25,7 +25,8 @@
     std::uint32_t rulesVersion = 0;
     std::vector<ConfigSectionState> sections;
     ServingDocumentPtr document;
-    bool caughtUp = false; ///< The fold has reached the end of the log, or a peer's state while the log is down.
+    std::string snapshot; ///< Snapshot record of the complete state, for peers that start.
+    bool ready = false; ///< The configuration is known and not older than any that was heard of when it became ready.
     bool stopped = false; ///< A record with unknown rules was read; the last configuration stays in force.
 };
 
--- a/src/control/configtask.cpp
+++ b/src/control/configtask.cpp
@@ -1,7 +1,6 @@
 #include "control/configtask.h"
 
 #include "base/log.h"
-#include "config/configfold.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -13,66 +12,30 @@
 namespace
 {
 
-/// The task waits this long for a record; bounds how long its stop takes.
-constexpr milliseconds ReadWait{1000};
-constexpr milliseconds ReadTimeout{2500};
-constexpr milliseconds RetryDelay{200};
-constexpr std::size_t MaxRecordsPerRead = 500;
+constexpr milliseconds ReadTimeoutMargin{1500};
+constexpr milliseconds AppendTimeout{5000};
+constexpr milliseconds FetchTimeout{1000};
+/// Time between two turns that have nothing to do.
+constexpr milliseconds IdleDelay{50};
 
+TimePoint currentTime()
+{
+    return std::chrono::steady_clock::now();
 }
 
-/// Folds what is read and builds the published states.
-class ConfigTask::Follower
+WallTime currentWallTime()
 {
-public:
-    explicit Follower(std::unique_ptr<LogService> log)
-        : log_(std::move(log))
-    {
-    }
-
-    /// Reads once. Returns a state if one came into force or the end was reached for the first time.
-    leaf::result<ConfigStatePtr> read()
-    {
-        BOOST_LEAF_AUTO(batch, log_->read("config", fold_.nextOffset(), MaxRecordsPerRead, ReadWait, ReadTimeout));
-        for (const LogRecord &record : batch.records) {
-            fold_.apply(record);
-        }
-        const bool reachedEnd = batch.records.size() < MaxRecordsPerRead;
-        if (!reachedEnd || (caughtUp_ && published_ == fold_.version())) {
-            return ConfigStatePtr();
-        }
-        caughtUp_ = true;
-        published_ = fold_.version();
-        return state();
-    }
-
-private:
-    ConfigStatePtr state() const
-    {
-        auto state = std::make_shared<ConfigState>();
-        state->version = fold_.version();
-        state->throughOffset = fold_.nextOffset();
-        state->rulesVersion = newestRulesVersion();
-        for (const auto &[name, section] : fold_.state().sections) {
-            state->sections.push_back({name, section.version, section.text});
-        }
-        state->document = fold_.document();
-        state->caughtUp = caughtUp_;
-        state->stopped = fold_.unknownRules().has_value();
-        return state;
-    }
+    return std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
+}
 
-    std::unique_ptr<LogService> log_;
-    ConfigFold fold_;
-    bool caughtUp_ = false;
-    std::uint64_t published_ = 0;
-};
+}
 
-ConfigTask::ConfigTask(std::unique_ptr<LogService> log, Metrics &metrics, Peers peers, Publish publish)
-    : metrics_(metrics)
-    , peers_(std::move(peers))
+ConfigTask::ConfigTask(std::unique_ptr<LogService> log, const ConfigFollower::Settings &settings, Metrics &metrics, Publish publish)
+    : log_(std::move(log))
+    , metrics_(metrics)
     , publish_(std::move(publish))
-    , follower_(std::make_unique<Follower>(std::move(log)))
+    , follower_(settings)
+    , published_(std::make_shared<ConfigState>())
 {
     thread_ = std::thread([this] { run(); });
 }
@@ -83,22 +46,128 @@
     thread_.join();
 }
 
+void ConfigTask::setFleet(const FleetSnapshotPtr &fleet)
+{
+    fleets_.post(fleet);
+}
+
 void ConfigTask::run()
 {
     while (!stopping_) {
-        leaf::try_handle_all(
-            [this]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(state, follower_->read());
-                if (state != nullptr) {
-                    publish_(state);
-                }
-                return {};
-            },
-            [this] {
-                metrics_.increment("lentillock_config_read_errors_total");
-                std::this_thread::sleep_for(RetryDelay);
-            });
+        learnPeers();
+        const TimePoint start = currentTime();
+        handle(ConfigTick{currentWallTime()});
+        publishIfChanged();
+        if (currentTime() - start < IdleDelay) {
+            std::this_thread::sleep_for(IdleDelay);
+        }
+    }
+}
+
+void ConfigTask::learnPeers()
+{
+    const auto fleets = fleets_.takeAll();
+    if (fleets.empty()) {
+        return;
+    }
+    peerAddresses_.clear();
+    for (const Member &member : fleets.back()->members) {
+        if (member.id == fleets.back()->self.id || member.status == MemberStatus::Dead) {
+            continue;
+        }
+        peerAddresses_[member.id] = member.controlAddress;
+        std::uint64_t &known = peerVersions_[member.id];
+        if (member.configVersion > known) {
+            known = member.configVersion;
+            handle(PeerVersionHeard{member.id, member.configVersion});
+        }
+    }
+    std::erase_if(peerVersions_, [this](const auto &entry) { return !peerAddresses_.contains(entry.first); });
+}
+
+void ConfigTask::handle(const ConfigInput &input)
+{
+    for (const ConfigAction &action : follower_.handle(currentTime(), input)) {
+        std::visit([this](const auto &content) { perform(content); }, action);
+    }
+}
+
+void ConfigTask::perform(const ReadConfig &action)
+{
+    const ConfigInput result = leaf::try_handle_all(
+        [&]() -> leaf::result<ConfigInput> {
+            BOOST_LEAF_AUTO(batch, log_->read(ConfigStream, action.from, action.maxRecords, action.wait, action.wait + ReadTimeoutMargin));
+            return ConfigInput(ConfigRead{std::move(batch)});
+        },
+        [](LogError error, const EarliestOffset &earliest) {
+            return ConfigInput(ConfigReadFailed{error, earliest.value});
+        },
+        [](LogError error) {
+            return ConfigInput(ConfigReadFailed{error, std::nullopt});
+        },
+        [] { return ConfigInput(ConfigReadFailed{}); });
+    if (std::holds_alternative<ConfigReadFailed>(result)) {
+        metrics_.increment("lentillock_config_read_errors_total");
+    }
+    handle(result);
+}
+
+void ConfigTask::perform(const AppendSnapshot &action)
+{
+    const bool appended = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(log_->append(ConfigStream, {action.data}, AppendTimeout));
+            return true;
+        },
+        [] { return false; });
+    handle(appended ? ConfigInput(SnapshotAppended{}) : ConfigInput(SnapshotAppendFailed{}));
+}
+
+void ConfigTask::perform(const FetchPeerConfig &action)
+{
+    const auto address = peerAddresses_.find(action.peer);
+    const auto snapshot = address == peerAddresses_.end() ? std::nullopt : client_.fetchConfig(address->second, follower_.version(), FetchTimeout);
+    handle(snapshot ? ConfigInput(PeerConfigFetched{*snapshot}) : ConfigInput(PeerFetchFailed{action.peer}));
+}
+
+void ConfigTask::perform(const ConfigChanged &action)
+{
+    Log::write(Log::Level::Info, "config-in-force", {{"version", std::to_string(action.version)}});
+}
+
+void ConfigTask::perform(const ConfigAlarm &action)
+{
+    metrics_.increment("lentillock_config_alarms_total");
+    Log::write(Log::Level::Error, "config-alarm", {{"message", action.message}});
+}
+
+void ConfigTask::publishIfChanged()
+{
+    const ConfigFold *fold = follower_.inForce();
+    const bool stopped = fold != nullptr && fold->unknownRules().has_value();
+    if (published_->version == follower_.version() && published_->ready == follower_.isReady() && published_->stopped == stopped) {
+        return;
+    }
+    published_ = state();
+    publish_(published_);
+}
+
+ConfigStatePtr ConfigTask::state() const
+{
+    auto state = std::make_shared<ConfigState>();
+    state->version = follower_.version();
+    state->rulesVersion = newestRulesVersion();
+    state->document = follower_.document();
+    state->ready = follower_.isReady();
+    state->snapshot = follower_.snapshotData();
+    if (const ConfigFold *fold = follower_.inForce()) {
+        state->throughOffset = fold->nextOffset();
+        state->stopped = fold->unknownRules().has_value();
+        for (const auto &[name, section] : fold->state().sections) {
+            state->sections.push_back({name, section.version, section.text});
+        }
     }
+    return state;
 }
 
 }
--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -1,5 +1,6 @@
 #include "control/controlprocess.h"
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "config/configfold.h"
@@ -63,7 +64,12 @@
 
     ~Parts()
     {
-        configTask.reset();
+        std::unique_ptr<ConfigTask> stopped;
+        {
+            const std::lock_guard lock(configTaskMutex);
+            stopped = std::move(configTask);
+        }
+        stopped.reset();
         vmListTask.reset();
         claims.shutDown();
         if (service != nullptr) {
@@ -79,6 +85,10 @@
         }
         claims.setFleet(snapshot);
         service->setFleet(snapshot);
+        const std::lock_guard lock(configTaskMutex);
+        if (configTask != nullptr) {
+            configTask->setFleet(snapshot);
+        }
     }
 
     void setConfig(const ConfigStatePtr &state)
@@ -103,18 +113,6 @@
         }
     }
 
-    std::vector<std::string> peerAddresses() const
-    {
-        const std::lock_guard lock(mutex);
-        std::vector<std::string> addresses;
-        for (const Member &member : fleet->members) {
-            if (member.id != settings.vm && member.status == MemberStatus::Alive) {
-                addresses.push_back(member.controlAddress);
-            }
-        }
-        return addresses;
-    }
-
     std::string state(const std::string &part) const
     {
         FleetSnapshotPtr currentFleet;
@@ -141,6 +139,7 @@
     Metrics metrics;
     mutable std::mutex mutex;
     std::mutex fleetTaskMutex;
+    std::mutex configTaskMutex;
     std::vector<FleetMessage> earlyMessages;
     ClaimRouter claims;
     FleetSnapshotPtr fleet;
@@ -174,8 +173,13 @@
             fleetTask->post(std::move(message));
         }
     }
+    ConfigFollower::Settings followerSettings;
+    followerSettings.retention = settings.logRetention;
+    followerSettings.retentionRecords = static_cast<std::uint64_t>(settings.logRetentionRecords);
+    followerSettings.seed = stableHash(settings.vm.value());
+    const std::lock_guard lock(configTaskMutex);
     configTask = std::make_unique<ConfigTask>(
-        std::make_unique<HttpLogService>(settings.log), metrics, [this] { return peerAddresses(); }, [this](const ConfigStatePtr &state) { setConfig(state); });
+        std::make_unique<HttpLogService>(settings.log), followerSettings, metrics, [this](const ConfigStatePtr &state) { setConfig(state); });
     if (!settings.vmList.empty()) {
         vmListTask = std::make_unique<VmListTask>(std::make_unique<HttpVmList>(settings.vmList, VmListTimeout),
                                                   settings.vmListInterval,
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -245,6 +245,7 @@
         reply->set_through_offset(config->throughOffset);
         reply->set_rules_version(config->rulesVersion);
         if (config->version > request->known_version()) {
+            reply->set_snapshot(config->snapshot);
             for (const ConfigSectionState &section : config->sections) {
                 rpc::Section &encoded = *reply->add_sections();
                 encoded.set_name(section.name);
--- a/src/control/controlsettings.cpp
+++ b/src/control/controlsettings.cpp
@@ -84,6 +84,8 @@
         {"vmListIntervalMs", "ms", 1000, 100, 60000, "time between two reads of the VM list"},
         {"claimShards", "shards", 16, 1, 100, "number of claim streams; must be equal on all VMs and never change while keys are remembered"},
         {"drainDelayMs", "ms", 1000, 0, 60000, "time between the announcement of leaving and the end of the process"},
+        {"logRetentionMs", "ms", 86400000, 7200000, 31536000000, "how long the log keeps a record; at least the key window and the longest request"},
+        {"logRetentionRecords", "records", 1000000, 1000, 1000000000, "how many records of a stream the log keeps"},
     };
     return Settings;
 }
@@ -128,6 +130,8 @@
     settings.vmListInterval = milliseconds(numbers["vmListIntervalMs"]);
     settings.claimShards = numbers["claimShards"];
     settings.drainDelay = milliseconds(numbers["drainDelayMs"]);
+    settings.logRetention = milliseconds(numbers["logRetentionMs"]);
+    settings.logRetentionRecords = numbers["logRetentionRecords"];
     reader.finish();
     findings.append(problems);
     if (problems.hasErrors()) {
--- a/src/control/controlsettings.h
+++ b/src/control/controlsettings.h
@@ -27,6 +27,8 @@
     milliseconds vmListInterval{0};
     std::int64_t claimShards = 0;
     milliseconds drainDelay{0};
+    milliseconds logRetention{0};
+    std::int64_t logRetentionRecords = 0;
 
     bool operator==(const ControlSettings &) const = default;
 };
--- a/src/control/fleettask.cpp
+++ b/src/control/fleettask.cpp
@@ -28,11 +28,6 @@
     return std::chrono::steady_clock::now();
 }
 
-WallTime currentWallTime()
-{
-    return std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
-}
-
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -191,7 +186,7 @@
 
 void FleetTask::updateReady()
 {
-    membership_.setReady(config_->caughtUp && config_->version >= membership_.highestConfigVersion());
+    membership_.setReady(config_->ready);
 }
 
 void FleetTask::publishIfDue(TimePoint now)
@@ -253,6 +248,9 @@
     addresses_.clear();
     engines_.clear();
     observed_.clear();
+    if (config_->document == nullptr) {
+        return;
+    }
     for (const Endpoint &endpoint : config_->document->endpoints) {
         addresses_[endpoint.id] = endpoint.address;
         if (endpoint.kind == EndpointKind::Engine) {
@@ -278,14 +276,13 @@
     membership_.setEntry(message.address, message.incarnation);
 }
 
-void FleetTask::handle(TimePoint /*now*/, const AllocationsListed &message)
+void FleetTask::handle(TimePoint now, const AllocationsListed &message)
 {
     std::vector<ListedAllocation> allocations;
-    const WallTime now = currentWallTime();
     for (const AllocationRecord &record : message.allocations) {
-        allocations.push_back({record.id, record.owner, record.deadline - now});
+        allocations.push_back({record.id, record.owner, record.remaining});
     }
-    perform(reclaimer_.listed(message.endpoint, allocations));
+    perform(reclaimer_.listed(now, message.endpoint, allocations));
 }
 
 void FleetTask::handle(TimePoint /*now*/, const OwnerAnswered &message)
--- a/src/control/memoryreclaimer.cpp
+++ b/src/control/memoryreclaimer.cpp
@@ -37,7 +37,7 @@
     for (const VmId &vm : liveVms) {
         names.push_back(vm.value());
     }
-    std::map<EndpointId, std::vector<Held>> kept;
+    std::map<EndpointId, Engine> kept;
     for (const EndpointId &engine : engines) {
         const auto responsible = rendezvousOrder(engine.value(), names, ResponsibleVms);
         if (std::ranges::find(responsible, self_.value()) != responsible.end()) {
@@ -59,29 +59,41 @@
     }
     nextList_ = now + ListInterval;
     std::vector<ReclaimAction> actions;
-    for (const auto &[engine, held] : engines_) {
-        actions.emplace_back(ListAllocations{engine});
+    for (const auto &[id, engine] : engines_) {
+        actions.emplace_back(ListAllocations{id});
     }
     return actions;
 }
 
-std::vector<ReclaimAction> MemoryReclaimer::listed(const EndpointId &endpoint, const std::vector<ListedAllocation> &allocations)
+void MemoryReclaimer::noteDeadlines(TimePoint now, Engine &engine, const std::vector<ListedAllocation> &allocations)
+{
+    std::map<AllocationId, TimePoint> deadlines;
+    for (const ListedAllocation &allocation : allocations) {
+        const TimePoint deadline = now + allocation.remaining;
+        const auto known = engine.deadlines.find(allocation.id);
+        deadlines[allocation.id] = known == engine.deadlines.end() ? deadline : std::min(deadline, known->second);
+    }
+    engine.deadlines = std::move(deadlines);
+}
+
+std::vector<ReclaimAction> MemoryReclaimer::listed(TimePoint now, const EndpointId &endpoint, const std::vector<ListedAllocation> &allocations)
 {
     const auto engine = engines_.find(endpoint);
     if (engine == engines_.end()) {
         return {};
     }
-    engine->second.clear();
+    engine->second.held.clear();
+    noteDeadlines(now, engine->second, allocations);
     std::vector<ReclaimAction> actions;
     std::map<VmId, AskOwner> questions;
     for (const ListedAllocation &allocation : allocations) {
         const auto owner = AllocationOwner::parse(allocation.owner);
         const EntryProcess *entry = owner ? entryOf(owner->vm) : nullptr;
-        const bool overdue = allocation.remaining < -DeadlineGrace;
+        const bool overdue = now > engine->second.deadlines.at(allocation.id) + DeadlineGrace;
         if (overdue || (entry != nullptr && entry->incarnation > owner->incarnation)) {
             actions.push_back(release(endpoint, allocation.id));
         } else if (entry != nullptr && !entry->address.empty()) {
-            engine->second.push_back({allocation.id, *owner});
+            engine->second.held.push_back({allocation.id, *owner});
             AskOwner &question = questions[owner->vm];
             question.vm = owner->vm;
             question.address = entry->address;
@@ -99,7 +111,7 @@
     std::vector<ReclaimAction> actions;
     for (auto &entry : engines_) {
         const EndpointId &engine = entry.first;
-        std::erase_if(entry.second, [&](const Held &allocation) {
+        std::erase_if(entry.second.held, [&](const Held &allocation) {
             if (allocation.owner.vm != answer.vm || answer.incarnation < allocation.owner.incarnation) {
                 return false;
             }
--- a/src/control/memoryreclaimer.h
+++ b/src/control/memoryreclaimer.h
@@ -31,7 +31,7 @@
 struct ListedAllocation {
     AllocationId id;
     std::string owner;
-    milliseconds remaining{0}; ///< Time until the request's deadline; negative after it.
+    milliseconds remaining{0}; ///< Time that the request had left when the allocation was made, or has left now.
 
     auto operator<=>(const ListedAllocation &) const = default;
 };
@@ -81,6 +81,9 @@
 
 /// Finds allocations whose owners are certainly dead and releases them.
 ///
+/// Deadlines count from the time at which an allocation was first listed, so that no clock of another machine is trusted. A VM that has become
+/// responsible later errs towards a later release.
+///
 /// Releasing is idempotent, so two VMs may be responsible for one endpoint at the same time. That an owner does not answer is no reason for a release.
 class MemoryReclaimer
 {
@@ -98,7 +101,7 @@
     void setEntries(const std::vector<EntryProcess> &entries);
 
     std::vector<ReclaimAction> advance(TimePoint now);
-    std::vector<ReclaimAction> listed(const EndpointId &endpoint, const std::vector<ListedAllocation> &allocations);
+    std::vector<ReclaimAction> listed(TimePoint now, const EndpointId &endpoint, const std::vector<ListedAllocation> &allocations);
     std::vector<ReclaimAction> ownerAnswered(const OwnerAnswer &answer);
 
     [[nodiscard]] std::size_t responsibleFor() const;
@@ -109,13 +112,18 @@
         AllocationId id;
         AllocationOwner owner;
     };
+    struct Engine {
+        std::vector<Held> held; ///< Allocations whose owners are asked.
+        std::map<AllocationId, TimePoint> deadlines; ///< Of all allocations of the last listing.
+    };
 
     [[nodiscard]] const EntryProcess *entryOf(const VmId &vm) const;
     ReclaimAction release(const EndpointId &endpoint, const AllocationId &allocation);
+    static void noteDeadlines(TimePoint now, Engine &engine, const std::vector<ListedAllocation> &allocations);
 
     VmId self_;
     std::vector<EntryProcess> entries_;
-    std::map<EndpointId, std::vector<Held>> engines_; ///< Engines this VM is responsible for, with the allocations to ask about.
+    std::map<EndpointId, Engine> engines_; ///< Engines this VM is responsible for.
     std::optional<TimePoint> nextList_;
     std::uint64_t releases_ = 0;
 };
--- a/src/control/peerclient.cpp
+++ b/src/control/peerclient.cpp
@@ -65,18 +65,6 @@
     outcome.set_state(static_cast<rpc::RunState>(record.outcome));
 }
 
-ConfigState decodeConfig(const rpc::ConfigState &reply)
-{
-    ConfigState state;
-    state.version = reply.version();
-    state.throughOffset = reply.through_offset();
-    state.rulesVersion = reply.rules_version();
-    for (const rpc::Section &section : reply.sections()) {
-        state.sections.push_back({section.name(), section.version(), section.text()});
-    }
-    return state;
-}
-
 }
 
 /// Channels and running calls.
@@ -198,7 +186,7 @@
         });
 }
 
-std::optional<ConfigState> PeerClient::fetchConfig(const std::string &address, std::uint64_t knownVersion, milliseconds timeout)
+std::optional<std::string> PeerClient::fetchConfig(const std::string &address, std::uint64_t knownVersion, milliseconds timeout)
 {
     Call<rpc::FetchConfigRequest, rpc::ConfigState> call;
     call.request.set_known_version(knownVersion);
@@ -206,10 +194,10 @@
     calls_->begin(call.context, timeout);
     const grpc::Status status = rpc::Control::NewStub(channel)->FetchConfig(&call.context, call.request, &call.reply);
     calls_->end(call.context, address, channel, status.ok());
-    if (!status.ok() || call.reply.version() <= knownVersion) {
+    if (!status.ok() || call.reply.version() <= knownVersion || call.reply.snapshot().empty()) {
         return std::nullopt;
     }
-    return decodeConfig(call.reply);
+    return call.reply.snapshot();
 }
 
 }
--- a/src/control/peerclient.h
+++ b/src/control/peerclient.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "claims/claimcoordinator.h"
-#include "control/configstate.h"
 #include "control/memoryreclaimer.h"
 
 #include <functional>
@@ -36,8 +35,8 @@
                    milliseconds timeout,
                    std::function<void(const std::optional<OwnerAnswer> &)> callback);
 
-    /// The peer's configuration, if it is newer than @p knownVersion. Blocks for up to @p timeout. The document is not set.
-    std::optional<ConfigState> fetchConfig(const std::string &address, std::uint64_t knownVersion, milliseconds timeout);
+    /// Snapshot record of the peer's configuration, if it is newer than @p knownVersion. Blocks for up to @p timeout.
+    std::optional<std::string> fetchConfig(const std::string &address, std::uint64_t knownVersion, milliseconds timeout);
 
 private:
     class Calls;
--- a/src/control/statedump.cpp
+++ b/src/control/statedump.cpp
@@ -37,7 +37,7 @@
     return {{"version", config.version},
             {"throughOffset", config.throughOffset},
             {"rulesVersion", config.rulesVersion},
-            {"caughtUp", config.caughtUp},
+            {"ready", config.ready},
             {"stopped", config.stopped},
             {"sections", std::move(sections)}};
 }
--- a/src/platform/endpointobserver.cpp
+++ b/src/platform/endpointobserver.cpp
@@ -25,6 +25,8 @@
 /// Idle connections that are kept; at the design size a control process observes up to 300 endpoints per model.
 constexpr long MaxConnections = 512;
 constexpr int MaxWaitMs = 1000;
+/// Longest time that an allocation may have left: a year.
+constexpr std::int64_t MaxRemainingMs = 31'536'000'000;
 
 struct Transfer {
     std::string url;
@@ -84,8 +86,9 @@
     for (const boost::json::value &element : list->get_array()) {
         Findings problems;
         JsonReader reader(element, "allocations", "", problems);
-        AllocationRecord record{
-            AllocationId(reader.requiredString("id")), reader.string("owner", ""), WallTime(milliseconds(reader.requiredInteger("deadlineMs", 0, MaxInteger)))};
+        AllocationRecord record{AllocationId(reader.requiredString("id")),
+                                reader.string("owner", ""),
+                                milliseconds(reader.requiredInteger("deadlineMs", -MaxRemainingMs, MaxRemainingMs))};
         // An entry that cannot be understood is left alone; the others are still reclaimed.
         if (!problems.hasErrors()) {
             allocations.push_back(std::move(record));
--- a/src/platform/endpointobserver.h
+++ b/src/platform/endpointobserver.h
@@ -18,7 +18,7 @@
 struct AllocationRecord {
     AllocationId id;
     std::string owner;
-    WallTime deadline; ///< Of the request that owns it, in the owner's wall-clock time.
+    milliseconds remaining{0}; ///< The engine's "deadlineMs": time that the owning request had left when it made the allocation.
 
     bool operator==(const AllocationRecord &) const = default;
 };
--- a/tests/claims/claimsimulation.cpp
+++ b/tests/claims/claimsimulation.cpp
@@ -126,6 +126,7 @@
 {
     // The writer, then the next one, and so on; a dead or frozen one does not answer.
     std::vector<VmId> names;
+    names.reserve(VmCount);
     for (int i = 0; i < VmCount; ++i) {
         names.emplace_back("vm" + std::to_string(i));
     }
--- /dev/null
+++ b/tests/control/controlprocesstest.cpp
@@ -0,0 +1,202 @@
+#include "control/controlprocess.h"
+
+#include "claims/idempotencykey.h"
+#include "platform/httpclient.h"
+#include "standins/platform/platformserver.h"
+
+#include "lentillock.grpc.pb.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <grpcpp/grpcpp.h>
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace Lentillock
+{
+namespace
+{
+
+namespace rpc = ::lentillock::rpc;
+
+/// Two control processes and the platform, all in this process.
+class ControlProcessTest : public testing::Test
+{
+protected:
+    ControlProcessTest()
+        : server_({.port = 0, .retentionRecords = 1000, .retention = 1h, .fetchesPerMinute = 1})
+        , url_("http://" + server_.start())
+        , platform_(url_)
+        , first_(start("vm1", {}))
+        , second_(start("vm2", {first_->addresses().gossip}))
+        , firstStub_(stub(*first_))
+        , secondStub_(stub(*second_))
+    {
+    }
+
+    ~ControlProcessTest() override
+    {
+        first_.reset();
+        second_.reset();
+        server_.stop();
+    }
+
+    std::unique_ptr<ControlProcess> start(const std::string &vm, const std::vector<std::string> &seeds)
+    {
+        ControlSettings settings;
+        settings.vm = VmId(vm);
+        settings.zone = ZoneId("a");
+        settings.grpc = settings.gossip = settings.operators = "127.0.0.1:0";
+        settings.seeds = seeds;
+        settings.log = url_;
+        settings.pollInterval = 500ms;
+        settings.pollTimeout = 1000ms;
+        settings.claimShards = 2;
+        settings.logRetention = 24h;
+        settings.logRetentionRecords = 1000;
+        return leaf::try_handle_all([&] { return ControlProcess::start(settings); }, [] { return std::unique_ptr<ControlProcess>(); });
+    }
+
+    static std::unique_ptr<rpc::Control::Stub> stub(const ControlProcess &process)
+    {
+        return rpc::Control::NewStub(grpc::CreateChannel(process.addresses().grpc, grpc::InsecureChannelCredentials()));
+    }
+
+    static void setDeadline(grpc::ClientContext &context)
+    {
+        context.set_deadline(std::chrono::system_clock::now() + 10s);
+    }
+
+    rpc::ClaimReply claim(rpc::Control::Stub &stub, const std::string &attempt, std::uint64_t remainingMs = 8000)
+    {
+        grpc::ClientContext context;
+        setDeadline(context);
+        rpc::ClaimRequest request;
+        request.set_workspace("kingston-lc");
+        request.set_key(key_);
+        request.set_attempt(attempt);
+        request.set_remaining_ms(remainingMs);
+        rpc::ClaimReply reply;
+        EXPECT_TRUE(stub.Claim(&context, request, &reply).ok());
+        return reply;
+    }
+
+    bool release(rpc::Control::Stub &stub, const std::string &attempt)
+    {
+        grpc::ClientContext context;
+        setDeadline(context);
+        rpc::ReleaseRequest request;
+        request.set_workspace("kingston-lc");
+        request.set_key(key_);
+        request.set_attempt(attempt);
+        rpc::Empty reply;
+        return stub.Release(&context, request, &reply).ok();
+    }
+
+    void injectFault(const std::string &fault)
+    {
+        const leaf::result<HttpResponse> response = platform_.post("/fault", fault, 2s);
+        ASSERT_TRUE(response && response->status == 200);
+    }
+
+    /// Waits until both know each other, for at most 10 s.
+    bool waitForMembers() const
+    {
+        for (int i = 0; i < 200; ++i) {
+            const bool met
+                = boost::json::parse(first_->state("members")).as_array().size() == 2 && boost::json::parse(second_->state("members")).as_array().size() == 2;
+            if (met) {
+                return true;
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        return false;
+    }
+
+    PlatformServer server_;
+    std::string url_;
+    HttpClient platform_;
+    std::unique_ptr<ControlProcess> first_;
+    std::unique_ptr<ControlProcess> second_;
+    std::unique_ptr<rpc::Control::Stub> firstStub_;
+    std::unique_ptr<rpc::Control::Stub> secondStub_;
+    std::string key_ = IdempotencyKey::create(std::chrono::floor<milliseconds>(std::chrono::system_clock::now()), 7).toText();
+};
+
+// Guards against two winners of a key that is sent through two VMs, and against a key that stays claimed after a release.
+TEST_F(ControlProcessTest, KeyIsClaimed_ThroughBothVms_OneWinsUntilItIsReleased)
+{
+    ASSERT_TRUE(waitForMembers());
+    EXPECT_EQ(claim(*firstStub_, "a").verdict(), rpc::CLAIM_VERDICT_WON);
+    const rpc::ClaimReply lost = claim(*secondStub_, "b");
+    EXPECT_EQ(lost.verdict(), rpc::CLAIM_VERDICT_LOST);
+    EXPECT_EQ(lost.winner_state(), rpc::RUN_STATE_UNKNOWN);
+    EXPECT_TRUE(release(*secondStub_, "a"));
+    EXPECT_EQ(claim(*secondStub_, "c").verdict(), rpc::CLAIM_VERDICT_WON);
+    EXPECT_EQ(claim(*firstStub_, "a").verdict(), rpc::CLAIM_VERDICT_REFUSED);
+}
+
+// Guards against a claim that fails, or is granted twice, because the log's answer was lost.
+TEST_F(ControlProcessTest, AnswersOfTheLogAreLost_ClaimIsStillWonOnce)
+{
+    ASSERT_TRUE(waitForMembers());
+    injectFault(R"({"kind":"loseAnswers","service":"log","count":2})");
+    EXPECT_EQ(claim(*firstStub_, "a").verdict(), rpc::CLAIM_VERDICT_WON);
+    EXPECT_EQ(claim(*secondStub_, "b").verdict(), rpc::CLAIM_VERDICT_LOST);
+}
+
+// Guards against a caller that waits beyond its time for a log that is down.
+TEST_F(ControlProcessTest, LogIsDown_ClaimIsUndecidedWithinItsTime)
+{
+    ASSERT_TRUE(waitForMembers());
+    injectFault(R"({"kind":"outage","service":"log"})");
+    const auto started = std::chrono::steady_clock::now();
+    EXPECT_EQ(claim(*firstStub_, "a", 900).verdict(), rpc::CLAIM_VERDICT_UNDECIDED);
+    EXPECT_LT(std::chrono::steady_clock::now() - started, 1500ms);
+    injectFault(R"({"kind":"none"})");
+}
+
+// Guards against keys that cannot be dated, which the fold could never forget safely.
+TEST_F(ControlProcessTest, KeyIsNoUuidOfVersion7_IsRefused)
+{
+    key_ = "6ba7b810-9dad-11d1-80b4-00c04fd430c8";
+    EXPECT_EQ(claim(*firstStub_, "a").verdict(), rpc::CLAIM_VERDICT_REFUSED);
+    EXPECT_FALSE(release(*firstStub_, "a"));
+}
+
+// Guards against entries that take a live control process for a silent one.
+TEST_F(ControlProcessTest, NothingChanges_WatchView_SendsAHeartbeatEvery500Ms)
+{
+    grpc::ClientContext context;
+    setDeadline(context);
+    rpc::WatchViewRequest request;
+    request.set_vm("vm1");
+    request.set_entry_address("127.0.0.1:1");
+    request.set_entry_incarnation(77);
+    const auto reader = firstStub_->WatchView(&context, request);
+    rpc::ViewUpdate update;
+    const auto started = std::chrono::steady_clock::now();
+    for (int i = 0; i < 4; ++i) {
+        ASSERT_TRUE(reader->Read(&update));
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - started, 2500ms);
+    EXPECT_GE(update.members_size(), 1);
+    EXPECT_EQ(boost::json::parse(first_->state("self")).as_object()["entryIncarnation"].to_number<int>(), 77);
+    context.TryCancel();
+    reader->Finish();
+}
+
+// Guards against a planned stop that other VMs notice only as a failure.
+TEST_F(ControlProcessTest, ProcessLeaves_OtherLearnsItAtOnce)
+{
+    ASSERT_TRUE(waitForMembers());
+    first_->announceLeaving();
+    for (int i = 0; i < 40 && second_->state("members").find("leaving") == std::string::npos; ++i) {
+        std::this_thread::sleep_for(50ms);
+    }
+    EXPECT_NE(second_->state("members").find("leaving"), std::string::npos);
+}
+
+}
+}
--- a/tests/membership/endpointtrackertest.cpp
+++ b/tests/membership/endpointtrackertest.cpp
@@ -97,6 +97,7 @@
     poll("g1");
     poll("g2");
     tracker_.report(id_, ReportedFault::Draining, "g1");
+    tracker_.report(id_, ReportedFault::ConnectFailed, "g1");
     EXPECT_EQ(health(), EndpointHealth::Live);
 }
 
