--- a/tests/config/configfollowertest.cpp
+++ b/tests/config/configfollowertest.cpp
@@ -269,6 +269,23 @@
     EXPECT_FALSE(follower.isReady());
 }
 
+// Guards against an older configuration in force while a VM that started from a peer reads the log from its beginning.
+TEST_F(ConfigFollowerTest, LogReadSlowlyAfterStartFromPeer_VersionDoesNotGoDown)
+{
+    simulation_.publishSample();
+    const ConfigFold reference = simulation_.reference();
+    ConfigFollower follower({});
+    follower.handle(simulation_.now(), PeerVersionHeard{VmId("other"), reference.version()});
+    follower.handle(simulation_.now(), PeerConfigFetched{reference.snapshotData()});
+    EXPECT_TRUE(follower.isReady());
+    const std::vector<LogRecord> &history = simulation_.log().history(ConfigStream);
+    for (const LogRecord &record : history) {
+        follower.handle(simulation_.now(), ConfigRead{LogBatch{{record}, record.offset + 1, FirstOffset}});
+        EXPECT_EQ(follower.version(), reference.version());
+        EXPECT_EQ(*follower.document(), *reference.document());
+    }
+}
+
 // Guards against taking all running VMs out of service at once when a new version is heard of during an outage.
 TEST_F(ConfigFollowerTest, ReadyVm_HearsNewVersionDuringOutage_StaysReadyAndRaisesAlarm)
 {
