--- a/src/entry/httpsession.cpp
+++ b/src/entry/httpsession.cpp
@@ -249,6 +249,9 @@
     writer_.reset();
     (void)lease_.resize(0);
     if (overflow_) {
+        // The refusal is about the pipelined request; under the identifier of the answered one its run state would be wrong.
+        context_ = {};
+        context_.requestId = environment_.newRequestId().value();
         refuse({.status = 413,
                 .code = "pipeline_too_long",
                 .message = "more than " + std::to_string(environment_.limits.maxPipelinedBytes) + " bytes were sent before the answer to the previous request"},
