Rpc: Keep gRPC's callback threads until the process ends

Change: keepCallbackThreads() is called by the classes that make asynchronous calls and has no end. The endpoint receives the Idempotency-Key of a request.

--- a/src/control/controlprocess.cpp
+++ b/src/control/controlprocess.cpp
@@ -13,7 +13,6 @@
 #include "control/vmlisttask.h"
 #include "platform/httplogservice.h"
 #include "platform/httpvmlist.h"
-#include "rpc/callbackqueueholder.h"
 
 #include <boost/json/serialize.hpp>
 
@@ -135,7 +134,6 @@
     leaf::result<void> startServers();
     leaf::result<void> startTasks(UdpSocket socket);
 
-    const CallbackQueueHolder callbackQueue;
     ControlSettings settings;
     ControlAddresses addresses;
     Metrics metrics;
--- a/src/control/peerclient.cpp
+++ b/src/control/peerclient.cpp
@@ -1,6 +1,7 @@
 #include "control/peerclient.h"
 
 #include "lentillock.grpc.pb.h"
+#include "rpc/callbackthreads.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -118,6 +119,7 @@
 PeerClient::PeerClient()
     : calls_(std::make_unique<Calls>())
 {
+    keepCallbackThreads();
 }
 
 PeerClient::~PeerClient() = default;
--- a/src/dispatch/endpointchooser.cpp
+++ b/src/dispatch/endpointchooser.cpp
@@ -194,7 +194,15 @@
 
 EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const RequestSpec &spec, const Candidates &candidates)
 {
-    const RouteRequest route{spec.workspace, spec.promptTokens, spec.maxTokens, spec.prefixBlocks, {}, zone_, spec.deadline};
+    const RouteRequest route{.workspace = spec.workspace,
+                             .promptTokens = spec.promptTokens,
+                             .maxTokens = spec.maxTokens,
+                             .prefixBlocks = spec.prefixBlocks,
+                             .excluded = {},
+                             .zone = zone_,
+                             .deadline = spec.deadline,
+                             .arrival = now,
+                             .model = spec.model};
     const std::optional<RouteChoice> choice = policy_->choose(now, route, candidates, nextRandom());
     if (!choice) {
         return NotPlaced::Wait;
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -397,6 +397,10 @@
         request.newConnection = !spec.idempotent;
         request.timeout = remaining(spec.deadline) + TransferGrace;
         request.headers = {"X-Request-Id: " + action.attempt.value()};
+        if (!spec.idempotencyKey.empty()) {
+            // Lets an endpoint that remembers keys refuse a repeated call as well.
+            request.headers.push_back("Idempotency-Key: " + spec.idempotencyKey);
+        }
         if (spec.kind == RequestKind::Service) {
             request.method = spec.method;
             request.url = url(action.address, spec.path);
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -10,7 +10,6 @@
 #include "entry/operatorsserver.h"
 #include "platform/httpvmlist.h"
 #include "routing/routingpolicy.h"
-#include "rpc/callbackqueueholder.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -272,7 +271,6 @@
         return selected == nullptr ? boost::json::value(nullptr) : *selected;
     }
 
-    const CallbackQueueHolder callbackQueue_;
     EntrySettings settings_;
     std::uint64_t incarnation_;
     Metrics metrics_;
