--- a/src/dispatch/endpointchooser.cpp
+++ b/src/dispatch/endpointchooser.cpp
@@ -32,6 +32,9 @@
 template<typename Predicate>
 EndpointChooser::Candidates withoutIfPossible(EndpointChooser::Candidates candidates, Predicate unwanted)
 {
+    if (std::none_of(candidates.begin(), candidates.end(), unwanted)) {
+        return candidates;
+    }
     EndpointChooser::Candidates kept;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(kept), [&](const auto &candidate) { return !unwanted(candidate); });
     return kept.empty() ? std::move(candidates) : kept;
--- /dev/null
+++ b/tests/dispatch/dispatchertest.cpp
@@ -0,0 +1,136 @@
+#include "dispatch/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Lentillock
+{
+namespace
+{
+
+/// Takes the first candidate, unless it is told that there is no room; predicts a fixed time.
+class ScriptedPolicy : public RoutingPolicy
+{
+public:
+    std::optional<RouteChoice>
+    choose(TimePoint /*now*/, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t /*random*/) const override
+    {
+        if (request.promptTokens > maxPrompt || candidates.empty()) {
+            return std::nullopt;
+        }
+        return RouteChoice{candidates.front().endpoint->id, expectedTotal, expectedTotal};
+    }
+
+    std::uint64_t maxPrompt = 1000;
+    Duration expectedTotal = 100ms;
+};
+
+class DispatcherTest : public testing::Test
+{
+protected:
+    DispatcherTest()
+    {
+        auto policy = std::make_unique<ScriptedPolicy>();
+        policy_ = policy.get();
+        DispatcherSettings settings;
+        settings.vm = VmId("vm1");
+        settings.maxQueueLength = 2;
+        settings.maxExplanations = 2;
+        dispatcher_ = std::make_unique<Dispatcher>(settings, std::move(policy));
+        auto document = std::make_shared<ServingDocument>();
+        auto view = std::make_shared<ServingView>();
+        for (const char *name : {"e1", "e2"}) {
+            Endpoint endpoint;
+            endpoint.id = EndpointId(name);
+            endpoint.model = ModelId("m");
+            document->endpoints.push_back(endpoint);
+            view->endpoints[endpoint.id] = {endpoint.id, EndpointHealth::Live, std::nullopt, now_};
+        }
+        view->document = document;
+        view->receivedAt = now_;
+        give(ViewChanged{view});
+    }
+
+    void arrive(const std::string &id, std::uint64_t tokens)
+    {
+        auto spec = std::make_shared<RequestSpec>();
+        spec->id = RequestId(id);
+        spec->model = ModelId("m");
+        spec->promptTokens = tokens;
+        spec->deadline = now_ + 5s;
+        give(RequestArrived{spec});
+    }
+
+    void give(const DispatchInput &input)
+    {
+        actions_ = dispatcher_->handle(now_, input);
+    }
+
+    template<typename Action>
+    [[nodiscard]] const Action *first() const
+    {
+        const auto found = std::find_if(actions_.begin(), actions_.end(), [](const auto &action) { return std::holds_alternative<Action>(action); });
+        return found == actions_.end() ? nullptr : &std::get<Action>(*found);
+    }
+
+    TimePoint now_{1h};
+    ScriptedPolicy *policy_ = nullptr;
+    std::unique_ptr<Dispatcher> dispatcher_;
+    std::vector<DispatchAction> actions_;
+};
+
+// Guards against accepting a request that will not finish within its time.
+TEST_F(DispatcherTest, Request_PredictedToEndAfterItsDeadline_IsRefusedAsNotRun)
+{
+    policy_->expectedTotal = 6s;
+    arrive("r1", 10);
+    ASSERT_NE(first<FinishRequest>(), nullptr);
+    EXPECT_EQ(first<FinishRequest>()->code, "cannot_finish_in_time");
+    EXPECT_EQ(first<FinishRequest>()->runState, RunState::WasNotRun);
+    EXPECT_EQ(first<StartAttempt>(), nullptr);
+}
+
+// Guards against a queue without bound, and against short requests that wait behind a long one.
+TEST_F(DispatcherTest, ShortRequest_BehindWaitingLongOnes_IsPlacedAndFurtherLongOnesAreRefused)
+{
+    arrive("long1", 2000);
+    EXPECT_TRUE(actions_.empty());
+    arrive("short", 10);
+    EXPECT_NE(first<StartAttempt>(), nullptr);
+    arrive("long2", 2000);
+    EXPECT_TRUE(actions_.empty());
+    arrive("long3", 2000);
+    ASSERT_NE(first<FinishRequest>(), nullptr);
+    EXPECT_EQ(first<FinishRequest>()->code, "overloaded");
+    EXPECT_TRUE(first<FinishRequest>()->retryAfter.has_value());
+}
+
+// Guards against a retry on the endpoint that has refused the request, while another one works.
+TEST_F(DispatcherTest, RefusedRequest_IsRetried_OnAnotherEndpoint)
+{
+    arrive("r1", 10);
+    const StartAttempt refused = *first<StartAttempt>();
+    give(AttemptFailed{refused.attempt, AttemptFailure::RefusedNotRun, 503, "full"});
+    now_ += 50ms;
+    actions_ = dispatcher_->advance(now_);
+    ASSERT_NE(first<StartAttempt>(), nullptr);
+    EXPECT_NE(first<StartAttempt>()->endpoint, refused.endpoint);
+    EXPECT_NE(first<StartAttempt>()->attempt, refused.attempt);
+}
+
+// Guards against explanations that grow without bound.
+TEST_F(DispatcherTest, Explanations_OfFinishedRequests_AreKeptForTheLastOnes)
+{
+    for (const char *id : {"r1", "r2", "r3"}) {
+        arrive(id, 10);
+        give(CallerGone{RequestId(id)});
+    }
+    EXPECT_FALSE(dispatcher_->explain(RequestId("r1"), now_).has_value());
+    EXPECT_TRUE(dispatcher_->explain(RequestId("r2"), now_).has_value());
+    EXPECT_TRUE(dispatcher_->explain(RequestId("r3"), now_).has_value());
+}
+
+}
+}
