Routing: Add focused failure tests

Cause: herding, starvation, limits across VMs, dead endpoints, late reports and reuse across sharing groups had no tests. WorkspaceLimits can be told the expected number of VMs.

--- a/src/routing/expectedfirsttokenpolicy.cpp
+++ b/src/routing/expectedfirsttokenpolicy.cpp
@@ -257,7 +257,8 @@
 
 bool ExpectedFirstTokenPolicy::isKeptForShort(const Plan &plan, const FleetState::Candidate &candidate)
 {
-    return plan.workClass != WorkClass::Short && plan.partition->home(candidate.endpoint) == WorkClass::Short;
+    // With fewer endpoints than classes, classes without an endpoint of their own share those of the others.
+    return plan.workClass != WorkClass::Short && plan.partition->count(plan.workClass) > 0 && plan.partition->home(candidate.endpoint) == WorkClass::Short;
 }
 
 double ExpectedFirstTokenPolicy::crossingSeconds(const ZoneId &from, const ZoneId &to) const
--- a/src/routing/workspacelimits.cpp
+++ b/src/routing/workspacelimits.cpp
@@ -22,11 +22,16 @@
 
 WorkspaceLimits::WorkspaceLimits(VmId self, std::size_t expectedVms)
     : self_(std::move(self))
-    , expectedVms_(std::max<std::size_t>(1, expectedVms))
+    , expectedVms_(expectedVms)
     , vms_{self_}
 {
 }
 
+void WorkspaceLimits::setExpectedVms(std::size_t vms)
+{
+    expectedVms_ = vms;
+}
+
 void WorkspaceLimits::setWorkspaces(const std::vector<Workspace> &workspaces)
 {
     std::map<WorkspaceId, State> states;
--- a/src/routing/workspacelimits.h
+++ b/src/routing/workspacelimits.h
@@ -39,6 +39,8 @@
     /// @p expectedVms bounds the share of a VM that has not seen the others yet.
     WorkspaceLimits(VmId self, std::size_t expectedVms);
 
+    /// The number of VMs that the fleet is meant to have now.
+    void setExpectedVms(std::size_t vms);
     void setWorkspaces(const std::vector<Workspace> &workspaces);
     /// The VMs that are alive as seen from here, this one included.
     void setVms(TimePoint now, const std::vector<VmId> &vms);
--- /dev/null
+++ b/tests/routing/admissionqueuetest.cpp
@@ -0,0 +1,80 @@
+#include "routing/admissionqueue.h"
+
+#include "routing/overloadcontrol.h"
+
+#include <gtest/gtest.h>
+
+namespace Lentillock
+{
+namespace
+{
+
+class AdmissionQueueTest : public testing::Test
+{
+protected:
+    QueueEntry entry(const std::string &id, const std::string &workspace, std::uint64_t tokens, Duration waited = Duration::zero()) const
+    {
+        return {RequestId(id), WorkspaceId(workspace), 0, tokens, now_ - waited, now_ - waited + 100s};
+    }
+
+    TimePoint now_{std::chrono::hours(1)};
+    AdmissionQueue queue_{100};
+    OverloadControl overload_;
+};
+
+// Guards against short work that waits behind long work.
+TEST_F(AdmissionQueueTest, ShortRequest_BehindLongOne_IsTriedFirst)
+{
+    queue_.push(entry("long", "a", 500'000));
+    queue_.push(entry("short", "a", 2'000));
+    EXPECT_EQ(queue_.order(now_).front(), RequestId("short"));
+}
+
+// Guards against starvation: a long request that has waited long is tried before any number of new short ones.
+TEST_F(AdmissionQueueTest, LongRequest_HasWaitedLong_IsTriedFirst)
+{
+    queue_.push(entry("long", "a", 500'000, 30s));
+    queue_.push(entry("short", "a", 2'000));
+    EXPECT_EQ(queue_.order(now_).front(), RequestId("long"));
+}
+
+// Guards against one workspace that fills the queue and thereby keeps others waiting.
+TEST_F(AdmissionQueueTest, ManyRequestsOfOneWorkspace_DoNotDelayAnother)
+{
+    for (int i = 0; i < 50; ++i) {
+        queue_.push(entry("a" + std::to_string(i), "a", 2'000));
+    }
+    queue_.push(entry("b", "b", 2'000));
+    const auto order = queue_.order(now_);
+    EXPECT_LE(std::find(order.begin(), order.end(), RequestId("b")) - order.begin(), 1);
+}
+
+// Guards against wrong sums after removal, on which refusals depend.
+TEST_F(AdmissionQueueTest, Removal_TakesTheWorkFromTheSums)
+{
+    queue_.push(entry("a", "a", 2'000));
+    queue_.push(entry("b", "b", 3'000));
+    queue_.remove(RequestId("a"));
+    queue_.remove(RequestId("a"));
+    EXPECT_EQ(queue_.waitingTokens(WorkClass::Short), 3'000U);
+    EXPECT_EQ(queue_.waitingTokens(WorkClass::Short, WorkspaceId("a")), 0U);
+    EXPECT_EQ(queue_.waitingWorkspaces(WorkClass::Short), 1U);
+}
+
+// Guards against accepting work that will only wait until its deadline, and against refusing the workspaces that did not cause it.
+TEST_F(AdmissionQueueTest, Overload_RefusesTheWorkspaceThatFillsTheQueueFirst)
+{
+    overload_.dispatched(now_, 2'000);
+    // Twice the wait that is allowed, by the outflow of 2000 tokens per half-life.
+    for (int i = 0; i < 2; ++i) {
+        queue_.push(entry("a" + std::to_string(i), "a", 1'100));
+    }
+    const auto greedy = overload_.refuse(now_, entry("next", "a", 2'000), queue_);
+    ASSERT_TRUE(greedy.has_value());
+    EXPECT_GE(*greedy, 1s);
+    EXPECT_FALSE(overload_.refuse(now_, entry("other", "b", 2'000), queue_).has_value());
+    EXPECT_FALSE(overload_.refuse(now_, entry("long", "a", 200'000), queue_).has_value());
+}
+
+}
+}
--- /dev/null
+++ b/tests/routing/enginemodeltest.cpp
@@ -0,0 +1,97 @@
+#include "standins/engine/enginemodel.h"
+
+#include "routing/prefixblocks.h"
+#include "standins/engine/generatedtext.h"
+
+#include <gtest/gtest.h>
+
+namespace Lentillock
+{
+namespace
+{
+
+class EngineModelTest : public testing::Test
+{
+protected:
+    static EngineRequest request(const std::string &id, std::uint64_t promptTokens, std::uint64_t maxTokens)
+    {
+        EngineRequest request;
+        request.id = id;
+        request.promptTokens = promptTokens;
+        request.maxTokens = maxTokens;
+        return request;
+    }
+
+    TimePoint start_{std::chrono::hours(1)};
+    EngineModel engine_{EngineSettings(), "1", start_};
+};
+
+// Guards against answers that cannot be checked: a continuation and the last part of a prompt give the text of the whole.
+TEST_F(EngineModelTest, GeneratedText_ContinuedOrFromLastPart_IsThatOfTheWhole)
+{
+    const std::string prompt = std::string(5000, 'p') + "question";
+    const std::string whole = generatedText(prompt, 0, 20);
+    EXPECT_EQ(generatedText(prompt, 0, 7) + generatedText(prompt, 7, 20), whole);
+    EXPECT_EQ(generatedText(prompt.substr(3000), 0, 20), whole);
+    EXPECT_NE(generatedText(prompt + '?', 0, 20), whole);
+}
+
+// Guards against a model in which long prefills do not slow the decoding beside them; policies could not be compared on it.
+TEST_F(EngineModelTest, Decoding_BesideLongPrefill_IsSlower)
+{
+    engine_.submit(start_, request("short", 1000, 100));
+    engine_.advance(start_ + 10s);
+    ASSERT_EQ(engine_.status("short")->phase, EngineRequestPhase::Finished);
+    const TimePoint alone = engine_.takeEvents().back().at;
+    engine_.submit(start_ + 10s, request("long", 300'000, 10));
+    engine_.submit(start_ + 10s, request("beside", 1000, 100));
+    engine_.advance(start_ + 10s + (alone - start_) * 2);
+    EXPECT_NE(engine_.status("beside")->phase, EngineRequestPhase::Finished);
+}
+
+// Guards against an idle engine whose queue waits for memory that has been released meanwhile.
+TEST_F(EngineModelTest, MemoryReleased_EngineIdle_WaitingRequestStarts)
+{
+    ASSERT_TRUE(engine_.allocate(start_, "allocation", {"owner", 350'000, 0}));
+    ASSERT_TRUE(engine_.submit(start_, request("waiting", 100'000, 1)));
+    engine_.advance(start_ + 1s);
+    ASSERT_EQ(engine_.status("waiting")->phase, EngineRequestPhase::Queued);
+    engine_.release(start_ + 1s, "allocation");
+    EXPECT_TRUE(engine_.nextStepEnd().has_value());
+    engine_.advance(start_ + 100s);
+    EXPECT_EQ(engine_.status("waiting")->phase, EngineRequestPhase::Finished);
+    EXPECT_EQ(engine_.load(start_ + 200s).freeTokens, engine_.settings().memoryTokens);
+}
+
+// Guards against reuse of a prompt prefix across salts in the stand-in itself.
+TEST_F(EngineModelTest, SamePrompt_OtherSalt_IsNotReused)
+{
+    const std::string prompt(20 * PrefixBlockBytes, 'x');
+    int count = 0;
+    const auto cachedTokens = [&](const std::string &salt) {
+        EngineRequest next = request("r" + std::to_string(count), estimatedTokens(prompt), 1);
+        next.prefixBlocks = prefixBlockHashes(prompt, salt);
+        engine_.submit(start_ + std::chrono::seconds(10 * count), next);
+        engine_.advance(start_ + std::chrono::seconds(10 * (count + 1)));
+        return engine_.status("r" + std::to_string(count++))->cachedTokens;
+    };
+    EXPECT_EQ(cachedTokens("a"), 0U);
+    EXPECT_GT(cachedTokens("a"), 10'000U);
+    EXPECT_EQ(cachedTokens("b"), 0U);
+}
+
+TEST_F(EngineModelTest, Order_OldFencingNumber_IsRefusedOnlyWhereChecked)
+{
+    EngineSettings lenient;
+    lenient.checksFencing = false;
+    EngineModel other(lenient, "1", start_);
+    for (EngineModel *engine : {&engine_, &other}) {
+        EXPECT_EQ(engine->order(start_, {7, "1", "m", "2", "", false}), EngineOrderResult::Done);
+    }
+    EXPECT_EQ(engine_.order(start_, {6, "1", "m", "1", "", false}), EngineOrderResult::StaleFencing);
+    EXPECT_EQ(other.order(start_, {6, "1", "m", "1", "", false}), EngineOrderResult::Done);
+    EXPECT_EQ(other.order(start_, {8, "0", "m", "1", "", false}), EngineOrderResult::WrongGeneration);
+}
+
+}
+}
--- /dev/null
+++ b/tests/routing/expectedfirsttokenpolicytest.cpp
@@ -0,0 +1,176 @@
+#include "routing/expectedfirsttokenpolicy.h"
+
+#include "base/hash.h"
+#include "routing/fleetbuilder.h"
+#include "routing/prefixblocks.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Lentillock
+{
+namespace
+{
+
+class ExpectedFirstTokenPolicyTest : public testing::Test
+{
+protected:
+    RouteRequest request(std::uint64_t promptTokens) const
+    {
+        RouteRequest request;
+        request.model = ModelId("model");
+        request.zone = ZoneId("zone-0");
+        request.promptTokens = promptTokens;
+        request.maxTokens = 100;
+        request.arrival = now_;
+        request.deadline = now_ + 100s;
+        return request;
+    }
+
+    /// How often each endpoint is picked when @p routers routers with the same view each route one request.
+    std::map<EndpointId, std::size_t> picks(std::size_t routers, const FleetState &fleet, const RouteRequest &routed) const
+    {
+        std::map<EndpointId, std::size_t> counts;
+        const auto candidates = fleet.candidatesForModel(ModelId("model"));
+        for (std::size_t router = 0; router < routers; ++router) {
+            const ExpectedFirstTokenPolicy policy({}, {});
+            if (const auto choice = policy.choose(now_, routed, candidates, stableHash(std::to_string(router)))) {
+                ++counts[choice->endpoint];
+            }
+        }
+        return counts;
+    }
+
+    FleetState oneIdle(std::size_t endpoints, std::size_t idle) const
+    {
+        FleetBuilder builder(endpoints, now_ - 300ms);
+        for (std::size_t i = 0; i < endpoints; ++i) {
+            builder.load(i).queuedTokens = i == idle ? 0 : 20'000;
+        }
+        return builder.build();
+    }
+
+    static std::size_t largest(const std::map<EndpointId, std::size_t> &counts)
+    {
+        std::size_t largest = 0;
+        for (const auto &[endpoint, count] : counts) {
+            largest = std::max(largest, count);
+        }
+        return largest;
+    }
+
+    TimePoint now_{std::chrono::hours(1)};
+};
+
+// Guards against herding: routers with the same stale view must not all send to the endpoint that looks idle.
+TEST_F(ExpectedFirstTokenPolicyTest, SevenRouters_OneEndpointLooksIdle_DoNotAllPickIt)
+{
+    const auto counts = picks(7, oneIdle(14, 11), request(2'000));
+    EXPECT_LE(largest(counts), 5U);
+    EXPECT_GE(counts.size(), 3U);
+}
+
+// Guards against herding at the design size.
+TEST_F(ExpectedFirstTokenPolicyTest, ManyRouters_OneEndpointLooksIdle_SpreadOverTheFleet)
+{
+    const auto counts = picks(810, oneIdle(300, 299), request(2'000));
+    EXPECT_LE(largest(counts), 60U);
+    EXPECT_GE(counts.size(), 100U);
+}
+
+// Guards against holding back work that has no endpoint of its own because there are fewer endpoints than classes.
+TEST_F(ExpectedFirstTokenPolicyTest, SingleEndpoint_TakesWorkOfAnyLength)
+{
+    const FleetState fleet = FleetBuilder(1, now_ - 300ms).build();
+    const ExpectedFirstTokenPolicy policy({}, {});
+    for (const std::uint64_t tokens : {1'000U, 20'000U, 300'000U}) {
+        EXPECT_TRUE(policy.choose(now_, request(tokens), fleet.candidatesForModel(ModelId("model")), 1).has_value()) << tokens;
+    }
+}
+
+// Guards against an endpoint whose idle look dates from before it failed.
+TEST_F(ExpectedFirstTokenPolicyTest, EndpointFailed_ReportIsOlder_GetsNoWork)
+{
+    FleetBuilder builder(3, now_ - 300ms);
+    builder.load(1).queuedTokens = 400'000;
+    builder.load(2).queuedTokens = 400'000;
+    const FleetState fleet = builder.build();
+    ExpectedFirstTokenPolicy policy({}, {});
+    policy.endpointFailed(now_ - 100ms, FleetBuilder::id(0));
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const auto choice = policy.choose(now_, request(2'000), fleet.candidatesForModel(ModelId("model")), stableHash(std::to_string(seed)));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_NE(choice->endpoint, FleetBuilder::id(0));
+    }
+}
+
+// Guards against a silent endpoint that attracts all work because its last report showed it idle.
+TEST_F(ExpectedFirstTokenPolicyTest, ReportIsMuchOlderThanOthers_LooksIdle_DoesNotAttractWork)
+{
+    FleetBuilder builder(14, now_ - 300ms);
+    for (std::size_t i = 0; i < 14; ++i) {
+        builder.load(i).queuedTokens = 10'000;
+    }
+    // An endpoint that is kept for short work.
+    builder.load(11).queuedTokens = 0;
+    builder.load(11).measuredAt = now_ - 20s;
+    const auto counts = picks(100, builder.build(), request(2'000));
+    EXPECT_EQ(counts.count(FleetBuilder::id(11)), 0U);
+}
+
+// Guards against sending more and more to one endpoint until the next report shows it.
+TEST_F(ExpectedFirstTokenPolicyTest, OwnWorkSinceTheReport_CountsAsLoad)
+{
+    FleetBuilder builder(3, now_ - 300ms);
+    FleetState fleet = builder.build();
+    ExpectedFirstTokenPolicy policy({}, {});
+    // The endpoint that is kept for short work.
+    fleet.attemptStarted(AttemptId("a"), FleetBuilder::id(2), 300'000, 100);
+    policy.attemptStarted(now_ - 100ms, request(300'000), FleetBuilder::id(2));
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const auto choice = policy.choose(now_, request(2'000), fleet.candidatesForModel(ModelId("model")), stableHash(std::to_string(seed)));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_NE(choice->endpoint, FleetBuilder::id(2));
+    }
+}
+
+// Guards against starvation of long work: it is held back while no engine has memory, but not for ever.
+TEST_F(ExpectedFirstTokenPolicyTest, LongRequest_NoEngineHasMemory_IsHeldOnlyForPartOfItsTime)
+{
+    FleetBuilder builder(6, now_ - 300ms);
+    for (std::size_t i = 0; i < 6; ++i) {
+        builder.load(i).freeTokens = 50'000;
+    }
+    const FleetState fleet = builder.build();
+    const ExpectedFirstTokenPolicy policy({}, {});
+    RouteRequest routed = request(200'000);
+    EXPECT_FALSE(policy.choose(now_, routed, fleet.candidatesForModel(ModelId("model")), 1).has_value());
+    routed.arrival = now_ - 60s;
+    routed.deadline = now_ + 40s;
+    EXPECT_TRUE(policy.choose(now_, routed, fleet.candidatesForModel(ModelId("model")), 1).has_value());
+}
+
+// Guards against prompt reuse across workspaces that do not share: their blocks must not attract each other's requests.
+TEST_F(ExpectedFirstTokenPolicyTest, SamePromptOfAnotherSharingGroup_ExpectsNoReuse)
+{
+    const std::string prompt(50 * PrefixBlockBytes, 'x');
+    const FleetState fleet = FleetBuilder(1, now_ - 300ms).build();
+    ExpectedFirstTokenPolicy policy({}, {});
+    RouteRequest routed = request(25'600);
+    routed.prefixBlocks = prefixBlockHashes(prompt, "group-a");
+    policy.attemptStarted(now_ - 10s, routed, FleetBuilder::id(0));
+    const auto candidates = fleet.candidatesForModel(ModelId("model"));
+    const auto sameGroup = policy.choose(now_, routed, candidates, 1);
+    routed.prefixBlocks = prefixBlockHashes(prompt, "group-b");
+    const auto otherGroup = policy.choose(now_, routed, candidates, 1);
+    routed.prefixBlocks.clear();
+    const auto noPrefix = policy.choose(now_, routed, candidates, 1);
+    ASSERT_TRUE(sameGroup && otherGroup && noPrefix);
+    EXPECT_LT(sameGroup->expectedFirstToken, noPrefix->expectedFirstToken / 4);
+    EXPECT_EQ(otherGroup->expectedFirstToken, noPrefix->expectedFirstToken);
+}
+
+}
+}
