--- a/src/dispatch/endpointchooser.cpp
+++ b/src/dispatch/endpointchooser.cpp
@@ -194,7 +194,7 @@
 
 EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const RequestSpec &spec, const Candidates &candidates)
 {
-    const RouteRequest route{spec.workspace, spec.promptTokens, spec.maxTokens, spec.prefixBlocks, {}, zone_, spec.deadline};
+    const RouteRequest route{spec.workspace, spec.promptTokens, spec.maxTokens, spec.prefixBlocks, {}, zone_, spec.deadline, now, spec.model};
     const std::optional<RouteChoice> choice = policy_->choose(now, route, candidates, nextRandom());
     if (!choice) {
         return NotPlaced::Wait;
