--- a/src/entry/controllink.cpp
+++ b/src/entry/controllink.cpp
@@ -29,6 +29,7 @@
 constexpr milliseconds KeepaliveInterval{1000};
 constexpr milliseconds KeepaliveTimeout{1000};
 constexpr milliseconds RetryDelay{200};
+constexpr milliseconds CancelPoll{1};
 constexpr milliseconds VmListInterval{1000};
 
 // Releases and outcomes are worth repeating only while callers may still ask; the claim streams' readers treat a lost one as unknown.
@@ -45,8 +46,7 @@
 std::shared_ptr<grpc::Channel> newChannel(const std::string &address)
 {
     grpc::ChannelArguments arguments;
-    // Channels with equal arguments share connections, and a silent connection must not be reused. A pool of its own (GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL)
-    // is no way out: with gRPC 1.51 the process ends with an assertion when a server disconnects while the channel reconnects.
+    // Channels with equal arguments share connections, and a silent connection must not be reused.
     static std::atomic<int> channelNumber = 0;
     arguments.SetInt("lentillock.channel", ++channelNumber);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(KeepaliveInterval.count()));
@@ -241,15 +241,35 @@
             timers_.advance(now);
             carryOut(selector_.advance(now));
             setConnected(selector_.isConnected());
+            destroyRetired();
         }
-        for (const auto &[id, stream] : streams_) {
+        cancelAll();
+    }
+
+    void cancelAll()
+    {
+        for (const auto &[id, stream] : std::exchange(streams_, {})) {
             stream->cancel();
+            retired_.push_back(stream);
         }
-        for (const auto &[id, call] : calls_) {
+        for (const auto &[id, call] : std::exchange(calls_, {})) {
             if (call.current != nullptr) {
                 call.current->context.TryCancel();
+                retired_.push_back(call.current);
             }
         }
+        stubs_.clear();
+        while (!retired_.empty()) {
+            std::this_thread::sleep_for(CancelPoll);
+            destroyRetired();
+        }
+    }
+
+    /// Destroys what gRPC's threads no longer use. When one of them destroys the last channel of the process, gRPC 1.51 makes it wait for itself and then
+    /// ends the process with an assertion, so channels are destroyed only here.
+    void destroyRetired()
+    {
+        std::erase_if(retired_, [](const std::shared_ptr<void> &object) { return object.use_count() == 1; });
     }
 
     void setConnected(bool connected)
@@ -288,7 +308,10 @@
 
     void handle(StreamEnded &message)
     {
-        streams_.erase(message.stream);
+        if (const auto found = streams_.find(message.stream); found != streams_.end()) {
+            retired_.push_back(found->second);
+            streams_.erase(found);
+        }
         carryOut(selector_.streamEnded(clockNow(), message.stream));
     }
 
@@ -314,6 +337,7 @@
             case ControlSelector::Kind::Close:
                 if (const auto found = streams_.find(action.stream); found != streams_.end()) {
                     found->second->cancel();
+                    retired_.push_back(found->second);
                     streams_.erase(found);
                 }
                 break;
@@ -445,6 +469,7 @@
         }
         Call &call = found->second;
         const std::shared_ptr<CallTry> answered = std::exchange(call.current, nullptr);
+        retired_.push_back(answered);
         const auto *claim = std::get_if<AskClaim>(&call.action);
         const bool decided = message.status.ok() && (claim == nullptr || answered->claimReply.verdict() != rpc::CLAIM_VERDICT_UNDECIDED);
         if (decided) {
@@ -499,6 +524,7 @@
     std::map<std::uint64_t, std::shared_ptr<ViewStream>> streams_;
     std::map<std::uint64_t, Call> calls_;
     std::map<std::string, std::shared_ptr<rpc::Control::Stub>> stubs_;
+    std::vector<std::shared_ptr<void>> retired_; ///< Ended streams and calls that gRPC's threads may still use.
     std::uint64_t nextCall_ = 1;
     std::uint64_t rejectedVersion_ = 0;
     std::thread vmListThread_;
