Entry: Release the memory of a body once its prompt has been taken

40 callers with bodies of 12 MB raised the entry's peak resident memory to 549,896 KiB at a budget of 262,144 KiB: assigning an empty string keeps the buffer in libstdc++, so each connection held its body beside the prompt. Buffers are now swapped away. Reserving the prompt and fixed malloc thresholds were tried first and left the peak at 549,816 KiB; they stay, since the first avoids copies while the prompt grows and the second makes freed bodies return.

--- a/src/entry/answerwriter.cpp
+++ b/src/entry/answerwriter.cpp
@@ -196,7 +196,7 @@
     body += ",\"model\":" + quoted(style_.model) + ",\"choices\":[{\"index\":0,";
     body += style_.chat ? "\"message\":{\"role\":\"assistant\",\"content\":" + quoted(held_) + '}' : "\"text\":" + quoted(held_);
     body += ",\"finish_reason\":" + quoted(end.finishReason) + "}],\"usage\":" + usage(end) + "}\n";
-    held_ = {};
+    std::string().swap(held_);
     out += statusLine(200) + "Content-Type: " + std::string(JsonType) + "\r\nLentillock-Request-Id: " + requestId_ + "\r\n";
     if (!keepAlive_) {
         out += "Connection: close\r\n";
--- a/src/entry/callerconnection.cpp
+++ b/src/entry/callerconnection.cpp
@@ -92,7 +92,7 @@
         ::epoll_ctl(events_.writable, EPOLL_CTL_DEL, peer->fd(), nullptr);
     }
     open_ = false;
-    backlog_ = {};
+    std::string().swap(backlog_);
     sent_ = 0;
     (void)lease_.resize(0);
     carryOut(session_.disconnect("disconnected"));
@@ -163,7 +163,7 @@
     if (sent_ == backlog_.size()) {
         backlog_.clear();
         if (backlog_.capacity() > MaxKeptCapacity) {
-            backlog_ = {};
+            std::string().swap(backlog_);
         }
         sent_ = 0;
     } else if (sent_ > backlog_.size() / 2) {
@@ -189,7 +189,7 @@
 
 void CallerConnection::abortLocked(std::string_view reason)
 {
-    backlog_ = {};
+    std::string().swap(backlog_);
     sent_ = 0;
     (void)lease_.resize(0);
     fate_ = ConnectionFate::Abort;
--- a/src/entry/completionbody.cpp
+++ b/src/entry/completionbody.cpp
@@ -31,9 +31,12 @@
     static constexpr std::size_t max_string_size = std::numeric_limits<std::size_t>::max();
     // NOLINTEND(readability-identifier-naming)
 
-    explicit CompletionBodyHandler(bool chat)
+    /// @p textSize is the size of the whole body, which no text in it exceeds.
+    CompletionBodyHandler(bool chat, std::size_t textSize)
         : chat_(chat)
     {
+        // Growing by doubling would take up to twice the memory of a long prompt.
+        body_.prompt.reserve(textSize);
     }
 
     using ErrorCode = boost::json::error_code;
@@ -339,7 +342,7 @@
 {
     boost::json::parse_options options;
     options.max_depth = MaxDepth;
-    boost::json::basic_parser<CompletionBodyHandler> parser(options, chat);
+    boost::json::basic_parser<CompletionBodyHandler> parser(options, chat, text.size());
     boost::json::error_code error;
     const std::size_t consumed = parser.write_some(false, text.data(), text.size(), error);
     if (parser.handler().fault()) {
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -14,6 +14,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <malloc.h>
+
 #include <array>
 #include <atomic>
 #include <csignal>
@@ -30,6 +32,8 @@
 constexpr milliseconds VmListTimeout{2000};
 constexpr milliseconds SignalPoll{20};
 constexpr milliseconds AbortTimeout{2000};
+constexpr int MmapThresholdBytes = 256 * 1024;
+constexpr int TrimThresholdBytes = 4 * 1024 * 1024;
 
 std::uint64_t newIncarnation()
 {
@@ -332,6 +336,9 @@
     sigaddset(&stopSignals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    // Fixed thresholds: glibc otherwise raises them to the size of the largest freed body, and freed bodies then stay in the heap.
+    mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, TrimThresholdBytes);
 
     EntryProcess process(settings);
     std::cout << process.addresses() << std::endl;
--- a/src/entry/filterchain.cpp
+++ b/src/entry/filterchain.cpp
@@ -260,7 +260,7 @@
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(body, context.style.chat ? parseChatBody(context.body) : parseCompletionBody(context.body));
-            context.body = {};
+            std::string().swap(context.body); // An assignment would keep the memory.
             context.style.stream = body.stream;
             context.style.model = body.model;
             context.spec.model = ModelId(std::move(body.model));
--- a/tests/entry/callerservertest.cpp
+++ b/tests/entry/callerservertest.cpp
@@ -261,6 +261,7 @@
         }
     });
     std::vector<std::thread> callers;
+    callers.reserve(4);
     std::atomic<int> foreign = 0;
     std::atomic<int> whole = 0;
     for (int thread = 0; thread < 4; ++thread) {
--- a/tests/entry/entryprogramtest.cpp
+++ b/tests/entry/entryprogramtest.cpp
@@ -42,6 +42,7 @@
         posix_spawn_file_actions_addclose(&actions, output[0]);
         arguments.insert(arguments.begin(), ENTRY_PROGRAM);
         std::vector<char *> pointers;
+        pointers.reserve(arguments.size() + 1);
         for (std::string &argument : arguments) {
             pointers.push_back(argument.data());
         }
--- a/tests/entrybench/entryload.cpp
+++ b/tests/entrybench/entryload.cpp
@@ -106,6 +106,36 @@
               << quantile(firstTokens, 0.5) << R"(,"firstTokenP99Ms":)" << quantile(firstTokens, 0.99) << "}" << std::endl;
 }
 
+/// All connections send one request at the same time; with @p read false none reads its answer.
+void burst(const Load &load, bool read)
+{
+    std::atomic<int> succeeded = 0;
+    std::atomic<int> refused = 0;
+    std::vector<std::thread> threads;
+    for (std::size_t index = 0; index < load.connections; ++index) {
+        threads.emplace_back([&] {
+            const std::string request = requestBytes(load.promptBytes, load.tokens, "");
+            RawSocket socket = RawSocket::connect(load.port);
+            if (!read) {
+                constexpr int smallBuffer = 4096;
+                socket.setReceiveBuffer(smallBuffer);
+                socket.send(request);
+                std::this_thread::sleep_for(std::chrono::duration<double>(load.seconds));
+                return;
+            }
+            socket.send(request);
+            const std::string head = socket.readUntil("\r\n\r\n", milliseconds(20000));
+            (head.starts_with("HTTP/1.1 200") ? succeeded : refused) += 1;
+            socket.readAll(milliseconds(200));
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    std::cout << R"({"run":"burst","connections":)" << load.connections << R"(,"promptBytes":)" << load.promptBytes << R"(,"tokens":)" << load.tokens
+              << R"(,"succeeded":)" << succeeded << R"(,"refused":)" << refused << "}" << std::endl;
+}
+
 /// Answers a completion with as many one-token events as asked for, in one write.
 bool answerCompletion(RawSocket &connection, const ScriptedEndpoint::Request &request)
 {
@@ -130,13 +160,14 @@
     options::options_description description("Load generator with a trivial endpoint and a scripted control process for lentillock-entry");
     auto add = description.add_options();
     Load load;
-    std::string entryPortFile;
+    std::string scenario;
     add("help", "print this text");
     add("connections", options::value(&load.connections)->default_value(16), "callers' connections");
     add("prompt-bytes", options::value(&load.promptBytes)->default_value(8000), "length of each prompt");
     add("tokens", options::value(&load.tokens)->default_value(1), "tokens of each answer");
     add("seconds", options::value(&load.seconds)->default_value(5), "length of each run");
     add("rate", options::value(&load.ratePerSecond)->default_value(0), "requests/s over all connections; 0 means as fast as possible");
+    add("scenario", options::value(&scenario)->default_value("relay"), "relay, large-bodies or slow-readers");
     add("seed", options::value(&load.seed)->default_value(1), "seed of the arrival times");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
@@ -145,13 +176,27 @@
         std::cout << description;
         return 0;
     }
-    const ScriptedEndpoint endpoint(answerCompletion);
+    const bool largeBodies = scenario == "large-bodies";
+    const ScriptedEndpoint endpoint([largeBodies](RawSocket &connection, const ScriptedEndpoint::Request &request) {
+        if (request.head.starts_with("GET /v1/requests/")) {
+            return connection.send(ScriptedEndpoint::json(200, R"({"state":"running","position":0})"));
+        }
+        if (largeBodies) {
+            // Keeps the bodies in the entry until all callers have sent theirs.
+            std::this_thread::sleep_for(std::chrono::seconds(2));
+        }
+        return answerCompletion(connection, request);
+    });
     const ScriptedControl control({.configVersion = 1, .sections = smallDocument(endpoint.address()), .liveEndpoints = {"e1"}});
     // The caller starts the entry with this control address and writes the entry's port to standard input.
     std::cout << R"({"control":")" << control.address() << "\"}" << std::endl;
     if (!(std::cin >> load.port)) {
         return 2;
     }
+    if (scenario != "relay") {
+        burst(load, largeBodies);
+        return 0;
+    }
     Load direct = load;
     direct.port = endpoint.port();
     report("direct", direct, "0\r\n\r\n");
