Dispatch: Merge routing and feed its policy with observations

Cause: RoutingPolicy now learns from arrivals, starts, finished attempts and failures, and RouteRequest carries arrival and model. Change: the dispatcher builds the RouteRequest once per request, and reports arrivals, attempts (not those of groups), whole answers and failed endpoints to the policy.

OverloadControl is not used yet.

--- a/src/dispatch/endpointchooser.cpp
+++ b/src/dispatch/endpointchooser.cpp
@@ -43,8 +43,7 @@
 }
 
 EndpointChooser::EndpointChooser(const DispatcherSettings &settings, std::unique_ptr<RoutingPolicy> policy)
-    : zone_(settings.zone)
-    , probesAtOnce_(settings.probesAtOnce)
+    : probesAtOnce_(settings.probesAtOnce)
     , avoidance_(settings.endpointAvoidance)
     , random_(settings.seed)
     , policy_(std::move(policy))
@@ -79,6 +78,7 @@
 void EndpointChooser::endpointFailed(TimePoint now, const EndpointId &endpoint)
 {
     avoidedUntil_[endpoint] = now + avoidance_;
+    policy_->endpointFailed(now, endpoint);
 }
 
 void EndpointChooser::endpointLeaving(const EndpointId &endpoint)
@@ -96,9 +96,9 @@
     return gate_.isViewExpired(now);
 }
 
-EndpointChooser::Placement
-EndpointChooser::choose(TimePoint now, const RequestSpec &spec, const std::vector<EndpointId> &failed, std::vector<DispatchAction> &actions)
+EndpointChooser::Placement EndpointChooser::choose(TimePoint now, const Demand &demand, std::vector<DispatchAction> &actions)
 {
+    const RequestSpec &spec = demand.spec;
     Candidates candidates = usableCandidates(spec);
     if (candidates.empty()) {
         return reasonWithoutCandidates(spec);
@@ -116,9 +116,9 @@
         }
     }
     if (needsGroup) {
-        return fitsInZone(spec) ? chooseGroup(now, spec, candidates, failed) : NotPlaced::TooLong;
+        return fitsInZone(spec) ? chooseGroup(now, demand, candidates) : NotPlaced::TooLong;
     }
-    return chooseOne(now, spec, preferredCandidates(now, std::move(candidates), failed));
+    return chooseOne(now, demand.route, preferredCandidates(now, std::move(candidates), demand.failed));
 }
 
 FleetState &EndpointChooser::fleet()
@@ -126,6 +126,11 @@
     return fleet_;
 }
 
+RoutingPolicy &EndpointChooser::policy()
+{
+    return *policy_;
+}
+
 EndpointChooser::Candidates EndpointChooser::usableCandidates(const RequestSpec &spec) const
 {
     Candidates candidates = spec.kind == RequestKind::Service ? fleet_.candidatesForPath(spec.path) : fleet_.candidatesForModel(spec.model);
@@ -195,9 +200,8 @@
     });
 }
 
-EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const RequestSpec &spec, const Candidates &candidates)
+EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const RouteRequest &route, const Candidates &candidates)
 {
-    const RouteRequest route{spec.workspace, spec.promptTokens, spec.maxTokens, spec.prefixBlocks, {}, zone_, spec.deadline};
     const std::optional<RouteChoice> choice = policy_->choose(now, route, candidates, nextRandom());
     if (!choice) {
         return NotPlaced::Wait;
@@ -205,12 +209,11 @@
     return *choice;
 }
 
-EndpointChooser::Placement
-EndpointChooser::chooseGroup(TimePoint now, const RequestSpec &spec, const Candidates &candidates, const std::vector<EndpointId> &failed) const
+EndpointChooser::Placement EndpointChooser::chooseGroup(TimePoint now, const Demand &demand, const Candidates &candidates) const
 {
-    std::optional<GroupPlan> plan = planner_.plan(spec, preferredCandidates(now, candidates, failed));
+    std::optional<GroupPlan> plan = planner_.plan(demand.spec, preferredCandidates(now, candidates, demand.failed));
     if (!plan) {
-        plan = planner_.plan(spec, candidates);
+        plan = planner_.plan(demand.spec, candidates);
     }
     if (!plan) {
         return NotPlaced::Wait;
--- a/src/dispatch/requestcontroller.cpp
+++ b/src/dispatch/requestcontroller.cpp
@@ -22,6 +22,11 @@
     return status < FirstServerError && status != RequestTimeout && status != TooManyRequests;
 }
 
+RouteRequest routeOf(const RequestSpec &spec, const ZoneId &zone, TimePoint arrival)
+{
+    return {spec.workspace, spec.promptTokens, spec.maxTokens, spec.prefixBlocks, {}, zone, spec.deadline, arrival, spec.model};
+}
+
 bool keepsText(const RequestSpec &spec)
 {
     return spec.idempotent && spec.kind == RequestKind::Completion;
@@ -33,6 +38,7 @@
     : context_(context)
     , spec_(std::move(spec))
     , remaining_(spec_)
+    , route_(routeOf(*spec_, context.settings.zone, now))
     , trace_(spec_->id, spec_->workspace, now, spec_->deadline, context.settings.maxTraceEvents)
     , arrival_(now)
     , notBefore_(now)
@@ -47,6 +53,7 @@
         fail(now, Failures::deadlineExceeded());
         return;
     }
+    context_.chooser.policy().requestArrived(now, route_);
     enqueue(now, now);
 }
 
@@ -62,7 +69,7 @@
 
 void RequestController::place(TimePoint now)
 {
-    EndpointChooser::Placement placement = context_.chooser.choose(now, *remaining_, failed_, context_.actions);
+    EndpointChooser::Placement placement = context_.chooser.choose(now, {*remaining_, route_, failed_}, context_.actions);
     std::visit([this, now](auto &found) { placeOn(now, std::move(found)); }, placement);
 }
 
@@ -273,13 +280,18 @@
 {
     state_ = State::Queued;
     notBefore_ = notBefore;
-    if (!context_.queue.push({spec_->id, spec_->workspace, spec_->priority, remaining_->promptTokens, arrival_, spec_->deadline})) {
+    if (!context_.queue.push(queueEntry())) {
         fail(now, Failures::overloaded());
         return;
     }
     context_.queueDue = true;
 }
 
+QueueEntry RequestController::queueEntry() const
+{
+    return {spec_->id, spec_->workspace, spec_->priority, remaining_->promptTokens, arrival_, spec_->deadline};
+}
+
 void RequestController::askClaim(TimePoint now)
 {
     context_.queue.remove(spec_->id);
@@ -340,7 +352,11 @@
     state_ = State::Dispatching;
     start.attempt = context_.identifiers.nextAttempt();
     start.continuation = assembler_.text();
-    attempt_.emplace(LiveAttempt{start.attempt, start.endpoint, start.address, SilenceMonitor(context_.settings, now), {}, false, false, 200, {}, {}});
+    FleetState &fleet = context_.chooser.fleet();
+    LiveAttempt attempt{start.attempt, start.endpoint, start.address, SilenceMonitor(context_.settings, now)};
+    attempt.startedAt = now;
+    attempt.prefillTokensAhead = fleet.inFlight(start.endpoint).prefillTokens;
+    attempt_ = std::move(attempt);
     if (spec_->kind == RequestKind::Service && spec_->idempotent) {
         // Half of the time is left for another endpoint; a plain service cannot be asked about a call.
         attempt_->giveUpAt = now + (spec_->deadline - now) / 2;
@@ -350,9 +366,10 @@
     context_.attempts[start.attempt] = spec_->id;
     context_.counters.attempts += 1;
     context_.retries.requestDispatched(now, spec_->workspace);
-    // The allocations of a group already count as its work in flight.
-    const bool counted = group_ != nullptr;
-    context_.chooser.fleet().attemptStarted(start.attempt, start.endpoint, counted ? 0 : remaining_->promptTokens, counted ? 0 : remaining_->maxTokens);
+    if (group_ == nullptr) {
+        fleet.attemptStarted(start.attempt, start.endpoint, remaining_->promptTokens, remaining_->maxTokens);
+        context_.chooser.policy().attemptStarted(now, route_, start.endpoint);
+    }
     trace_.add(now, "attempt started", start.attempt.value() + " on " + start.endpoint.value());
     context_.actions.emplace_back(std::move(start));
 }
@@ -423,8 +440,8 @@
 {
     state_ = State::Streaming;
     attempt_->silence.progressMade(now);
-    if (!attempt_->firstToken) {
-        attempt_->firstToken = true;
+    if (!attempt_->firstTokenAt) {
+        attempt_->firstTokenAt = now;
         context_.chooser.fleet().firstTokenArrived(attempt_->id);
         if (group_ != nullptr) {
             group_->answerBegun();
@@ -570,6 +587,25 @@
     rest.promptTokens += assembler_.length();
     rest.maxTokens -= std::min(rest.maxTokens, assembler_.length());
     remaining_ = std::make_shared<const RequestSpec>(std::move(rest));
+    route_.promptTokens = remaining_->promptTokens;
+    route_.maxTokens = remaining_->maxTokens;
+}
+
+void RequestController::observe(TimePoint now, const AttemptEnded &end)
+{
+    // A group's times tell nothing about one endpoint.
+    if (group_ != nullptr || !attempt_->firstTokenAt) {
+        return;
+    }
+    AttemptObservation observation;
+    observation.endpoint = attempt_->endpoint;
+    observation.promptTokens = end.promptTokens > 0 ? end.promptTokens : remaining_->promptTokens;
+    observation.cachedTokens = end.cachedTokens;
+    observation.generatedTokens = assembler_.attemptPosition();
+    observation.prefillTokensAhead = attempt_->prefillTokensAhead;
+    observation.firstToken = *attempt_->firstTokenAt - attempt_->startedAt;
+    observation.total = now - attempt_->startedAt;
+    context_.chooser.policy().attemptFinished(now, observation);
 }
 
 void RequestController::succeed(TimePoint now, const AttemptEnded &end)
@@ -584,6 +620,7 @@
     action.promptTokens = end.promptTokens - std::min(end.promptTokens, earlier);
     action.cachedTokens = end.cachedTokens;
     runState_.answerWhole();
+    observe(now, end);
     closeAttempt();
     context_.counters.succeeded += 1;
     trace_.add(now, "succeeded");
