Dispatch: Tighten the tests that passed without their protection

Cause: with the probing of stale views, the memory of leaving endpoints, the order of reservations or the probing of a frozen prefill turned off, no test failed.

--- a/tests/dispatch/adversary.cpp
+++ b/tests/dispatch/adversary.cpp
@@ -320,6 +320,10 @@
 void Adversary::take(const ReserveAllocation &action)
 {
     require(requests_.at(action.request).finishes.empty(), action.request.value() + " reserved memory after its end");
+    for (const auto &[id, earlier] : allocations_) {
+        const bool ofGroup = earlier.reserve.request == action.request && earlier.releases == 0;
+        require(!ofGroup || earlier.reserve.endpoint < action.endpoint, "memory was not reserved in ascending order of endpoints");
+    }
     allocations_[action.allocation].reserve = action;
 }
 
