--- a/src/dispatch/endpointchooser.h
+++ b/src/dispatch/endpointchooser.h
@@ -43,10 +43,18 @@
 
     [[nodiscard]] bool isViewExpired(TimePoint now) const;
 
-    /// @p failed: endpoints that have failed for this request. Probes that are needed first are added to @p actions.
-    [[nodiscard]] Placement choose(TimePoint now, const RequestSpec &spec, const std::vector<EndpointId> &failed, std::vector<DispatchAction> &actions);
+    /// What is to be placed.
+    struct Demand {
+        const RequestSpec &spec;
+        const RouteRequest &route; ///< The same for the policy.
+        const std::vector<EndpointId> &failed; ///< Endpoints that have failed for this request.
+    };
+
+    /// Probes that are needed first are added to @p actions.
+    [[nodiscard]] Placement choose(TimePoint now, const Demand &demand, std::vector<DispatchAction> &actions);
 
     [[nodiscard]] FleetState &fleet();
+    [[nodiscard]] RoutingPolicy &policy();
 
 private:
     [[nodiscard]] Candidates usableCandidates(const RequestSpec &spec) const;
@@ -54,11 +62,10 @@
     [[nodiscard]] bool fitsInZone(const RequestSpec &spec) const;
     [[nodiscard]] Candidates readyCandidates(TimePoint now, Candidates candidates, std::size_t probes, std::vector<DispatchAction> &actions);
     [[nodiscard]] Candidates preferredCandidates(TimePoint now, Candidates candidates, const std::vector<EndpointId> &failed) const;
-    [[nodiscard]] Placement chooseOne(TimePoint now, const RequestSpec &spec, const Candidates &candidates);
-    [[nodiscard]] Placement chooseGroup(TimePoint now, const RequestSpec &spec, const Candidates &candidates, const std::vector<EndpointId> &failed) const;
+    [[nodiscard]] Placement chooseOne(TimePoint now, const RouteRequest &route, const Candidates &candidates);
+    [[nodiscard]] Placement chooseGroup(TimePoint now, const Demand &demand, const Candidates &candidates) const;
     [[nodiscard]] std::uint64_t nextRandom();
 
-    ZoneId zone_;
     std::size_t probesAtOnce_;
     Duration avoidance_;
     std::uint64_t random_;
--- a/src/dispatch/requestcontroller.h
+++ b/src/dispatch/requestcontroller.h
@@ -73,15 +73,18 @@
         EndpointId endpoint;
         std::string address;
         SilenceMonitor silence;
-        std::optional<TimePoint> giveUpAt; ///< Services only: they cannot be probed.
+        std::optional<TimePoint> giveUpAt = std::nullopt; ///< Services only: they cannot be probed.
         bool reached = false; ///< The endpoint has shown that it has the attempt.
-        bool firstToken = false;
+        TimePoint startedAt = {};
+        std::optional<TimePoint> firstTokenAt = std::nullopt;
+        std::uint64_t prefillTokensAhead = 0; ///< Of this entry on the endpoint when the attempt began.
         int status = 200;
-        std::string contentType;
-        std::optional<std::uint64_t> gapAt; ///< Position at which a gap has led to a resumption.
+        std::string contentType = {};
+        std::optional<std::uint64_t> gapAt = std::nullopt; ///< Position at which a gap has led to a resumption.
     };
 
     void enqueue(TimePoint now, TimePoint notBefore);
+    [[nodiscard]] QueueEntry queueEntry() const;
     void askClaim(TimePoint now);
     void placeOn(TimePoint now, const RouteChoice &choice);
     void placeOn(TimePoint now, GroupPlan plan);
@@ -103,6 +106,7 @@
     void closeAttempt();
     void closeAndCancelAttempt();
     void retry(TimePoint now, const EndpointId &failed, bool refused, const std::string &cause);
+    void observe(TimePoint now, const AttemptEnded &end);
     [[nodiscard]] bool isRetryAllowed() const;
     void prepareContinuation();
 
@@ -113,6 +117,7 @@
     DispatchContext &context_;
     RequestSpecPtr spec_; ///< As it arrived.
     RequestSpecPtr remaining_; ///< What is still to be generated; differs from spec_ in a continuation.
+    RouteRequest route_; ///< The same for the routing policy.
     RequestTrace trace_;
     State state_ = State::Queued;
     TimePoint arrival_;
