Routing: Bound the work and memory of workspace limits

Cause: news of VMs that had gone was kept for good, and each computation of a share searched a list of all VMs per item. Change: expired news is dropped, VMs are kept in a set, idle workspaces are not told.

--- a/src/routing/workspacelimits.cpp
+++ b/src/routing/workspacelimits.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr Duration MaxRetryAfter = 60s;
+/// Requests per second below which a workspace counts as idle.
+constexpr double MinDemand = 1e-3;
 
 double seconds(Duration duration)
 {
@@ -47,10 +49,9 @@
 
 void WorkspaceLimits::setVms(TimePoint now, const std::vector<VmId> &vms)
 {
-    vms_ = vms;
-    if (std::find(vms_.begin(), vms_.end(), self_) == vms_.end()) {
-        vms_.push_back(self_);
-    }
+    vms_.clear();
+    vms_.insert(vms.begin(), vms.end());
+    vms_.insert(self_);
     // A count is of no more interest once an equal or larger one has been seen later.
     std::erase_if(counts_, [this, now](const CountSeen &seen) { return seen.vms <= vms_.size() || now - seen.lastSeen > PartitionMemory; });
     counts_.push_back({vms_.size(), now});
@@ -92,7 +93,9 @@
 {
     std::vector<WorkspaceDemand> demands;
     for (const auto &[id, state] : states_) {
-        demands.push_back({self_, id, demandRate(state, now), now});
+        if (const double rate = demandRate(state, now); rate >= MinDemand) {
+            demands.push_back({self_, id, rate, now});
+        }
     }
     return demands;
 }
@@ -132,8 +135,7 @@
     const double own = demandRate(state, now);
     double sum = own;
     for (const auto &[vm, demand] : state.others) {
-        const bool isVisible = std::find(vms_.begin(), vms_.end(), vm) != vms_.end();
-        sum += isVisible && now - demand.receivedAt <= DemandLifetime ? demand.requestsPerSecond : 0;
+        sum += vms_.contains(vm) ? demand.requestsPerSecond : 0;
     }
     const double equal = 1 / static_cast<double>(vms_.size());
     const double byDemand = sum > 0 ? own / sum : equal;
@@ -142,6 +144,7 @@
 
 double WorkspaceLimits::shareInForce(TimePoint now, State &state) const
 {
+    std::erase_if(state.others, [now](const auto &other) { return now - other.second.receivedAt > DemandLifetime; });
     std::deque<ShareAt> &shares = state.shares;
     const bool wasIdle = shares.empty() || now - shares.back().at > RaiseDelay;
     if (wasIdle) {
--- a/src/routing/workspacelimits.h
+++ b/src/routing/workspacelimits.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <unordered_set>
 #include <vector>
 
 namespace Lentillock
@@ -49,7 +50,7 @@
     /// Returns nothing when the request may go on; else the time after which to try again. Counts the request as demand.
     [[nodiscard]] std::optional<Duration> admit(TimePoint now, const WorkspaceId &workspace, std::uint64_t tokens);
 
-    /// This VM's own demand, to be told to the others.
+    /// This VM's own demand, to be told to the others. Workspaces without demand are left out; what was told expires.
     [[nodiscard]] std::vector<WorkspaceDemand> ownDemand(TimePoint now) const;
 
     /// Part of the workspace's limits that this VM may use now, from 0 to 1.
@@ -101,7 +102,7 @@
 
     VmId self_;
     std::size_t expectedVms_;
-    std::vector<VmId> vms_;
+    std::unordered_set<VmId> vms_;
     std::vector<CountSeen> counts_; ///< Falling numbers of VMs with rising times at which they were last seen.
     std::map<WorkspaceId, State> states_;
 };
