Membership: Sync small gaps too, at most every 30 periods

A member that lacked less than a tenth of the list learnt the rest only from random repairs; at 300 members a restarted one was not always complete after 66 s.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -19,10 +19,11 @@
 constexpr std::uint64_t RejoinPeriods = 5;
 /// Kind, sequence, sender, target and the message's own overhead.
 constexpr std::size_t HeaderBound = 56;
-/// A member asks for the whole list when it lacks this part of another's members. Fewer are learnt from the usual messages.
+/// A member that lacks this part of another's members asks for the list after SyncPeriods; one that lacks fewer waits for the usual messages longer.
 constexpr std::size_t SyncFraction = 10;
-/// Periods between two starts of a sync, which bounds its traffic.
+/// Periods between two starts of a sync. A list of 300 members takes about 39 KB.
 constexpr std::uint64_t SyncPeriods = 5;
+constexpr std::uint64_t SmallSyncPeriods = 30;
 
 bool isLive(const Member &member)
 {
@@ -202,10 +203,14 @@
     return sends;
 }
 
-bool Membership::lacksMembers(const GossipMessage &message) const
+bool Membership::syncIsDue(const GossipMessage &message) const
 {
     const std::size_t own = liveCount() + 1;
-    return own + std::max<std::size_t>(1, message.liveMembers / SyncFraction) <= message.liveMembers;
+    if (message.sync || own >= message.liveMembers) {
+        return false;
+    }
+    const bool lacksMany = own + message.liveMembers / SyncFraction <= message.liveMembers;
+    return !lastSync_ || periods_ >= *lastSync_ + (lacksMany ? SyncPeriods : SmallSyncPeriods);
 }
 
 std::vector<SendGossip> Membership::continueSync(const std::string &source, const GossipMessage &message)
@@ -219,8 +224,8 @@
         syncCursor_ = VmId();
         return {};
     }
-    if (!message.sync && periods_ >= nextSync_ && lacksMembers(message)) {
-        nextSync_ = periods_ + SyncPeriods;
+    if (syncIsDue(message)) {
+        lastSync_ = periods_;
         return {syncRequest(source, message.from)};
     }
     return {};
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -101,7 +101,7 @@
     SendGossip syncRequest(const std::string &address, const VmId &receiver);
     GossipMessage syncAnswer(const GossipMessage &request) const;
     std::vector<SendGossip> continueSync(const std::string &source, const GossipMessage &message);
-    [[nodiscard]] bool lacksMembers(const GossipMessage &message) const;
+    [[nodiscard]] bool syncIsDue(const GossipMessage &message) const;
     SendGossip ping(const std::string &address, const VmId &receiver, std::uint64_t sequence);
     void startPeriod(TimePoint now, std::vector<SendGossip> &sends);
     void endPeriod(TimePoint now);
@@ -136,7 +136,7 @@
     std::optional<TimePoint> lastAdvance_;
     TimePoint periodEnd_;
     VmId syncCursor_; ///< Last member received by the running or interrupted sync; empty if there is none.
-    std::uint64_t nextSync_ = 0; ///< Period from which a sync may start.
+    std::optional<std::uint64_t> lastSync_; ///< Period in which the last sync was started.
     std::uint64_t sequence_ = 0;
     std::uint64_t periods_ = 0;
     std::uint64_t revision_ = 1;
--- a/tests/bench/benchmembership.cpp
+++ b/tests/bench/benchmembership.cpp
@@ -1,9 +1,10 @@
 // Measures traffic, processor time, detection and convergence of Membership from 7 to 300 members.
 //
-// Usage: bench-membership
+// Usage: bench-membership [MEMBERS...]
 
 #include "membership/membershipsimulation.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
@@ -77,10 +78,15 @@
 }
 }
 
-int main()
+int main(int argc, char **argv)
 {
     std::printf("cores=%u seed=%llu loss=%.2f\n", std::thread::hardware_concurrency(), static_cast<unsigned long long>(Lentillock::Seed), Lentillock::Loss);
-    for (const std::size_t count : {7U, 30U, 100U, 300U}) {
+    std::vector<std::size_t> counts{7, 30, 100, 300};
+    if (argc > 1) {
+        counts.clear();
+        std::transform(argv + 1, argv + argc, std::back_inserter(counts), [](const char *text) { return std::stoul(text); });
+    }
+    for (const std::size_t count : counts) {
         Lentillock::measure(count);
     }
     return 0;
