--- a/tests/config/configfoldtest.cpp
+++ b/tests/config/configfoldtest.cpp
@@ -151,6 +151,22 @@
     EXPECT_EQ(fold_.version(), 5U);
 }
 
+// Guards against two releases that judge records of the same rules version differently, or write different snapshots: their VMs would have
+// different configurations in force. If this fails, the change needs a new rules version; the expected digest of version 1 stays.
+TEST_F(ConfigFoldTest, RulesOfVersion1_AreUnchanged)
+{
+    publishSample();
+    publish("models", 2, R"({"models":[{"id":"m","version":"2","minEndpoints":5,"maxTokens":10}]})");
+    publish("models", 2, R"({"models":[]})");
+    publish("zones", 1, R"({"zones":[{"id":"a","region":"r"}]})");
+    publish("workspaces", 5, R"({"workspaces":[{"id":"w","priorityClass":"high","defaultTimeoutMs":700000}]})");
+    publish("priorities", 4, R"({"classes":[{"id":"high","level":1001}]})");
+    publish("endpoints", 3, R"({"endpoints":[{"id":"e","address":"[::1]:1","zone":"a","model":"m","memoryTokens":1}]})");
+    publish("workspaces", 5, R"({"workspaces":[{"id":"w","priorityClass":"high","models":["m"],"maxTimeoutMs":3600000}]})");
+    EXPECT_EQ(fold_.version(), 12U);
+    EXPECT_EQ(fold_.state().digest(), "0d633374dcab9a7bd65dedf761ea9b77e52fbba76bc8052059688536d67effa8");
+}
+
 // Guards against memory that grows with every publish. The log's time is used, so all readers forget alike.
 TEST_F(ConfigFoldTest, OldIds_AreForgottenByRecordTime)
 {
--- a/tests/lease/orderreconcilertest.cpp
+++ b/tests/lease/orderreconcilertest.cpp
@@ -217,6 +217,40 @@
     EXPECT_EQ(reconciler_.next(fleet.now_, 5), ReconcileActions());
 }
 
+// Guards against counting on an engine that the previous holder has ordered to drain: its older report does not show the order.
+TEST_F(OrderReconcilerTest, ReportFromBeforeTakeover_IsNotUsed)
+{
+    SimulatedFleet fleet(5, 3, false);
+    fleet.setVersion("2");
+    fleet.report(reconciler_);
+    fleet.now_ += 1s;
+    EXPECT_EQ(reconciler_.next(fleet.now_, 5), ReconcileActions());
+    fleet.advance(1s);
+    fleet.report(reconciler_);
+    EXPECT_NE(reconciler_.next(fleet.now_, 5), ReconcileActions());
+}
+
+// Guards against a second drain that is decided on a report from before the first one.
+TEST_F(OrderReconcilerTest, ReportFromBeforeOwnOrder_IsNotUsed)
+{
+    SimulatedFleet fleet(5, 3, false);
+    fleet.setVersion("2");
+    int orders = 0;
+    for (int i = 0; i < 10; ++i) {
+        // The reports stay those of the beginning.
+        fleet.report(reconciler_);
+        const ReconcileActions actions = reconciler_.next(fleet.now_, 5);
+        if (actions.weights) {
+            reconciler_.weightsStarted(*actions.weights);
+        }
+        if (actions.order) {
+            ++orders;
+            reconciler_.orderEnded(fleet.now_, actions.order->endpoint, true);
+        }
+    }
+    EXPECT_EQ(orders, 1);
+}
+
 TEST_F(OrderReconcilerTest, WithoutLease_GivesNoOrders)
 {
     SimulatedFleet fleet(4, 1, true);
