Engine: Bound the results that wait for the dispatcher

64 callers that do not read answers of 100,000 tokens raised the entry's peak resident memory to 719,152 KiB. Waiting in the dispatcher's mailbox for room alone did not help (718,736 KiB): libcurl reads several megabytes of a stream in one call, and all results were held until it returned. Results are now handed over after 1,024 at most, and handing over waits for the dispatcher.

--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds TransferGrace{10000};
 
 constexpr milliseconds IdlePoll{1000};
+constexpr std::size_t MaxHeldResults = 1024;
 
 constexpr int HttpOk = 200;
 constexpr int FirstErrorStatus = 400;
@@ -306,6 +307,10 @@
 
     bool receiveBody(AttemptStream &stream, std::string_view bytes)
     {
+        // libcurl may read several megabytes of one stream at a time. The sink may wait until earlier results have been handled.
+        if (results_.size() >= MaxHeldResults) {
+            sink_(std::exchange(results_, {}));
+        }
         if (stream.decoder) {
             if (auto fault = stream.decoder->decode(bytes, results_)) {
                 stream.fault = std::move(*fault);
--- a/src/engine/engineclient.h
+++ b/src/engine/engineclient.h
@@ -30,7 +30,7 @@
 public:
     using Sink = std::function<void(std::vector<DispatchInput>)>;
 
-    /// @p sink is called from the client's task with the results, in order for each attempt.
+    /// @p sink is called from the client's task with the results, in order for each attempt. While it waits, nothing is read from endpoints.
     EngineClient(EngineClientSettings settings, Sink sink, Metrics &metrics);
 
     /// Closes all connections and waits for the task.
--- a/src/entry/dispatchtask.cpp
+++ b/src/entry/dispatchtask.cpp
@@ -40,6 +40,9 @@
     if (thread_.joinable()) {
         mailbox_.post(Stop{});
         thread_.join();
+        ended_ = true;
+        waitingInputs_ = 0;
+        waitingInputs_.notify_all();
     }
 }
 
@@ -53,6 +56,18 @@
     mailbox_.post(std::move(inputs));
 }
 
+void DispatchTask::postWithBackpressure(std::vector<DispatchInput> inputs)
+{
+    if (ended_) {
+        return;
+    }
+    waitingInputs_ += inputs.size();
+    mailbox_.post(CountedInputs{std::move(inputs)});
+    for (std::size_t waiting = waitingInputs_; waiting > MaxWaitingInputs && !ended_; waiting = waitingInputs_) {
+        waitingInputs_.wait(waiting);
+    }
+}
+
 template<typename Result>
 Result DispatchTask::ask(std::function<Result(const Dispatcher &, TimePoint)> question)
 {
@@ -99,6 +114,10 @@
                 handle(*input);
             } else if (const auto *inputs = std::get_if<std::vector<DispatchInput>>(&message)) {
                 std::for_each(inputs->begin(), inputs->end(), [this](const DispatchInput &input) { handle(input); });
+            } else if (const auto *counted = std::get_if<CountedInputs>(&message)) {
+                std::for_each(counted->inputs.begin(), counted->inputs.end(), [this](const DispatchInput &input) { handle(input); });
+                waitingInputs_ -= counted->inputs.size();
+                waitingInputs_.notify_all();
             } else if (const auto *query = std::get_if<Query>(&message)) {
                 (*query)(*dispatcher_, clockNow());
             } else {
--- a/src/entry/dispatchtask.h
+++ b/src/entry/dispatchtask.h
@@ -6,6 +6,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,6 +21,8 @@
 class DispatchTask
 {
 public:
+    static constexpr std::size_t MaxWaitingInputs = 16384;
+
     /// Receivers of the dispatcher's actions; called from the task.
     struct Outputs {
         std::function<void(DispatchAction)> endpoints; ///< Actions of EngineClient.
@@ -43,6 +46,10 @@
     void post(DispatchInput input);
     void post(std::vector<DispatchInput> inputs);
 
+    /// Like post(), but waits while more than MaxWaitingInputs of such inputs have not been handled. Makes the client of the endpoints read no faster than
+    /// the dispatcher handles. Must not be called from the task.
+    void postWithBackpressure(std::vector<DispatchInput> inputs);
+
     /// The following wait for the task's answer and must not be called after stop().
     [[nodiscard]] std::vector<bool> areActive(const std::vector<RequestId> &requests);
     [[nodiscard]] boost::json::object dumpState();
@@ -53,7 +60,10 @@
     using Query = std::function<void(const Dispatcher &dispatcher, TimePoint now)>;
     struct Stop {
     };
-    using Message = std::variant<DispatchInput, std::vector<DispatchInput>, Query, Stop>;
+    struct CountedInputs {
+        std::vector<DispatchInput> inputs;
+    };
+    using Message = std::variant<DispatchInput, std::vector<DispatchInput>, CountedInputs, Query, Stop>;
 
     void run();
     void handle(const DispatchInput &input);
@@ -64,6 +74,8 @@
     std::unique_ptr<Dispatcher> dispatcher_;
     Outputs outputs_;
     Mailbox<Message> mailbox_;
+    std::atomic<std::size_t> waitingInputs_ = 0;
+    std::atomic<bool> ended_ = false; ///< The thread has ended.
     bool stopped_ = false;
     std::thread thread_;
 };
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -87,7 +87,7 @@
     {
         engines_ = std::make_unique<EngineClient>(
             EngineClientSettings{.owner = settings_.vm.value() + '/' + std::to_string(incarnation_)},
-            [this](std::vector<DispatchInput> inputs) { dispatch_->post(std::move(inputs)); },
+            [this](std::vector<DispatchInput> inputs) { dispatch_->postWithBackpressure(std::move(inputs)); },
             metrics_);
         dispatch_ = std::make_unique<DispatchTask>(
             std::make_unique<Dispatcher>(dispatcherSettings(settings_, incarnation_), std::make_unique<LeastOutstandingPolicy>()), outputs());
--- a/tests/engine/engineclienttest.cpp
+++ b/tests/engine/engineclienttest.cpp
@@ -24,6 +24,7 @@
             {.owner = "vm/7"},
             [this](std::vector<DispatchInput> inputs) {
                 const std::lock_guard lock(mutex_);
+                largestBatch_ = std::max(largestBatch_, inputs.size());
                 std::move(inputs.begin(), inputs.end(), std::back_inserter(inputs_));
                 condition_.notify_all();
             },
@@ -101,6 +102,7 @@
     std::mutex mutex_;
     std::condition_variable condition_;
     std::vector<DispatchInput> inputs_;
+    std::size_t largestBatch_ = 0;
     EngineClient client_;
 };
 
@@ -166,6 +168,24 @@
     EXPECT_EQ(failureOf("", spec("p", false)).failure, AttemptFailure::Broken);
 }
 
+// Guards against memory that grows with what an endpoint sends at once: the sink can only slow the client down between batches.
+TEST_F(EngineClientTest, ManyEventsAtOnce_AreDeliveredInBoundedBatches)
+{
+    constexpr std::uint64_t events = 50'000;
+    const ScriptedEndpoint endpoint([](RawSocket &connection, const ScriptedEndpoint::Request &) {
+        std::string bytes = ScriptedEndpoint::streamHead();
+        for (std::uint64_t position = 0; position < events; ++position) {
+            bytes += ScriptedEndpoint::event(position, 1, "x");
+        }
+        connection.send(bytes + ScriptedEndpoint::endEvent(events));
+        return false;
+    });
+    client_.post(attempt(endpoint.address(), spec()));
+    EXPECT_EQ(waitFor<AttemptEnded>().position, events);
+    const std::lock_guard lock(mutex_);
+    EXPECT_LT(largestBatch_, 4096U);
+}
+
 TEST_F(EngineClientTest, MalformedEvents_AreBroken)
 {
     EXPECT_THAT(failureOf(ScriptedEndpoint::streamHead() + "data: nonsense\n\n", spec()).message, HasSubstr("not a JSON object"));
