Tests: Check claims and outcomes of a running entry

A non-idempotent request must be claimed before it is dispatched, its outcome must be recorded, and a lost claim must not reach the endpoint.

--- a/tests/entry/entryprogramtest.cpp
+++ b/tests/entry/entryprogramtest.cpp
@@ -4,6 +4,8 @@
 #include "entrysupport/scriptedcontrol.h"
 #include "entrysupport/scriptedendpoint.h"
 
+#include "lentillock.pb.h"
+
 #include <boost/json/parse.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -268,6 +270,27 @@
     EXPECT_THAT(get(callers_, "/debug/state"), StartsWith("HTTP/1.1 401"));
 }
 
+// Guards against a non-idempotent request that is dispatched without a claim, or whose outcome nobody learns.
+TEST_F(RunningEntryTest, NonIdempotentRequest_IsClaimedFirstAndItsOutcomeRecorded)
+{
+    start();
+    const std::string key = "0192f3a0-1c2d-7abc-8def-0123456789ab";
+    RawSocket caller = RawSocket::connect(callers_);
+    caller.send(completionRequest("Lentillock-Idempotent: false\r\nIdempotency-Key: " + key + "\r\n"));
+    EXPECT_THAT(caller.readUntil("0\r\n\r\n"), HasSubstr("data: [DONE]"));
+    EXPECT_THAT(control_->calls(), testing::Contains("Claim " + key));
+    for (int i = 0; i < 200 && control_->calls().back() != "RecordOutcome " + key + " RUN_STATE_RAN"; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    EXPECT_EQ(control_->calls().back(), "RecordOutcome " + key + " RUN_STATE_RAN");
+
+    control_->setClaimHandler([](const auto &, auto &reply) { reply.set_verdict(lentillock::rpc::CLAIM_VERDICT_LOST); });
+    caller.send(completionRequest("Lentillock-Idempotent: false\r\nIdempotency-Key: " + key + "\r\n"));
+    EXPECT_THAT(caller.readUntil("}}"), testing::Not(HasSubstr("200 OK")));
+    const auto lines = endpoint_->requestLines();
+    EXPECT_EQ(std::count(lines.begin(), lines.end(), "POST /v1/completions HTTP/1.1"), 1);
+}
+
 // Guards against a planned stop that cuts off a request.
 TEST_F(RunningEntryTest, Sigterm_RunningStreamFinishes_NewRequestsAreRefusedAsNotRun)
 {
