--- a/tests/integration/testfleet.cpp
+++ b/tests/integration/testfleet.cpp
@@ -69,7 +69,7 @@
     setVmList({});
     publish("zones", R"({"zones":[{"id":"z1","region":"r"},{"id":"z2","region":"r"},{"id":"z3","region":"r"}]})");
     publish("models", R"({"models":[{"id":"doc-reader","version":"1","maxTokens":1100000}]})");
-    publish("priorities", R"({"classes":[{"id":"standard","level":1}],"objectives":{"longFirstToken":1,"shortSlowdown":1}})");
+    publish("priorities", prioritiesSection(1));
     publish("endpoints", endpointsSection());
     publishLimit(0);
     vms_.resize(options_.vms);
@@ -151,6 +151,7 @@
         {"seeds", seeds},
         {"log", platformUrl()},
         {"vmList", platformUrl()},
+        {"logRetentionRecords", options_.logRetentionRecords},
     };
     vms_[index].control.reset();
     vms_[index].control
@@ -184,18 +185,44 @@
                                                        directory_ + '/' + vm + "-entry.log");
 }
 
-std::uint64_t TestFleet::publish(const std::string &section, const std::string &text)
+std::uint64_t TestFleet::appendPublish(const std::string &section, std::uint64_t base, const std::string &text) const
 {
     HttpLogService log(platformUrl());
-    const PublishRecord record{newestRulesVersion(), newIdempotencyKey(), section, sectionVersions_[section], "test", text};
+    const PublishRecord record{newestRulesVersion(), newIdempotencyKey(), section, base, "test", text};
     const auto offset = log.append(ConfigStream, {encodeRecord(record)}, LogTimeout);
     if (!offset) {
         throw std::runtime_error("cannot publish section " + section);
     }
-    sectionVersions_[section] = *offset;
     return *offset;
 }
 
+std::uint64_t TestFleet::publish(const std::string &section, const std::string &text)
+{
+    const std::uint64_t offset = appendPublish(section, sectionVersions_[section], text);
+    sectionVersions_[section] = offset;
+    return offset;
+}
+
+std::uint64_t TestFleet::sectionVersion(const std::string &section) const
+{
+    return sectionVersions_.at(section);
+}
+
+std::string TestFleet::prioritiesSection(std::int64_t level)
+{
+    return R"({"classes":[{"id":"standard","level":)" + std::to_string(level) + R"(}],"objectives":{"longFirstToken":1,"shortSlowdown":1}})";
+}
+
+bool TestFleet::isInForceEverywhere(std::uint64_t version) const
+{
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (configVersion(i) < version) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::uint64_t TestFleet::publishLimit(double requestsPerSecond)
 {
     return publish("workspaces", workspacesSection(requestsPerSecond));
--- a/tests/integration/testfleet.h
+++ b/tests/integration/testfleet.h
@@ -59,12 +59,21 @@
     void startControl(std::size_t index);
     void startEntry(std::size_t index);
 
+    /// Appends a record of an operator who edited version @p base of @p section; returns its offset.
+    std::uint64_t appendPublish(const std::string &section, std::uint64_t base, const std::string &text) const;
+
     /// Publishes @p text for @p section on its current version; returns the offset.
     std::uint64_t publish(const std::string &section, const std::string &text);
 
     /// Publishes the workspaces section again with @p requestsPerSecond as the limit of the workspace "mill".
     std::uint64_t publishLimit(double requestsPerSecond);
 
+    [[nodiscard]] std::uint64_t sectionVersion(const std::string &section) const;
+    static std::string prioritiesSection(std::int64_t level);
+
+    /// Whether the entries of all VMs have at least configuration @p version in force.
+    [[nodiscard]] bool isInForceEverywhere(std::uint64_t version) const;
+
     /// Sets the platform's VM list; the endpoints in @p leaving are listed as leaving.
     void setVmList(const std::set<std::string> &leaving);
 
