Entry: Route by expected time to first token

Cause: the running entry used LeastOutstandingPolicy, so the cost model, prefix reuse and zone links had no effect. Change: the entry uses ExpectedFirstTokenPolicy. RoutingPolicy gets documentChanged(), which the dispatcher calls when a view brings another document: objectives and links are replaced, learnt costs, prefixes and demand stay. Services keep LeastOutstandingPolicy, because they send no load reports: an endpoint that failed once would be passed over for good, and lengths in bytes would be learnt as tokens. The whole-path test was not run.

--- a/src/dispatch/endpointchooser.cpp
+++ b/src/dispatch/endpointchooser.cpp
@@ -57,6 +57,9 @@
     gate_.controlHeard(view->receivedAt);
     leaving_.observeView(*view);
     std::erase_if(avoidedUntil_, [&view](const auto &item) { return !view->endpoints.contains(item.first); });
+    if (view->document != nullptr && (fleet_.view() == nullptr || fleet_.view()->document != view->document)) {
+        policy_->documentChanged(*view->document);
+    }
     fleet_.setView(std::move(view));
 }
 
@@ -118,7 +121,7 @@
     if (needsGroup) {
         return fitsInZone(spec) ? chooseGroup(now, demand, candidates) : NotPlaced::TooLong;
     }
-    return chooseOne(now, demand.route, preferredCandidates(now, std::move(candidates), demand.failed));
+    return chooseOne(now, demand, preferredCandidates(now, std::move(candidates), demand.failed));
 }
 
 FleetState &EndpointChooser::fleet()
@@ -200,9 +203,10 @@
     });
 }
 
-EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const RouteRequest &route, const Candidates &candidates)
+EndpointChooser::Placement EndpointChooser::chooseOne(TimePoint now, const Demand &demand, const Candidates &candidates)
 {
-    const std::optional<RouteChoice> choice = policy_->choose(now, route, candidates, nextRandom());
+    const RoutingPolicy &policy = demand.spec.kind == RequestKind::Service ? servicePolicy_ : *policy_;
+    const std::optional<RouteChoice> choice = policy.choose(now, demand.route, candidates, nextRandom());
     if (!choice) {
         return NotPlaced::Wait;
     }
--- a/src/dispatch/endpointchooser.h
+++ b/src/dispatch/endpointchooser.h
@@ -62,14 +62,15 @@
     [[nodiscard]] bool fitsInZone(const RequestSpec &spec) const;
     [[nodiscard]] Candidates readyCandidates(TimePoint now, Candidates candidates, std::size_t probes, std::vector<DispatchAction> &actions);
     [[nodiscard]] Candidates preferredCandidates(TimePoint now, Candidates candidates, const std::vector<EndpointId> &failed) const;
-    [[nodiscard]] Placement chooseOne(TimePoint now, const RouteRequest &route, const Candidates &candidates);
+    [[nodiscard]] Placement chooseOne(TimePoint now, const Demand &demand, const Candidates &candidates);
     [[nodiscard]] Placement chooseGroup(TimePoint now, const Demand &demand, const Candidates &candidates) const;
     [[nodiscard]] std::uint64_t nextRandom();
 
     std::size_t probesAtOnce_;
     Duration avoidance_;
     std::uint64_t random_;
-    std::unique_ptr<RoutingPolicy> policy_;
+    std::unique_ptr<RoutingPolicy> policy_; ///< For completions.
+    LeastOutstandingPolicy servicePolicy_; ///< Services send no load reports and their calls have no tokens to predict from.
     FleetState fleet_;
     EndpointProbeGate gate_;
     LeavingEndpoints leaving_;
--- a/src/dispatch/requestcontroller.cpp
+++ b/src/dispatch/requestcontroller.cpp
@@ -53,7 +53,9 @@
         fail(now, Failures::deadlineExceeded());
         return;
     }
-    context_.chooser.policy().requestArrived(now, route_);
+    if (spec_->kind == RequestKind::Completion) {
+        context_.chooser.policy().requestArrived(now, route_);
+    }
     enqueue(now, now);
 }
 
@@ -368,7 +370,9 @@
     context_.retries.requestDispatched(now, spec_->workspace);
     if (group_ == nullptr) {
         fleet.attemptStarted(start.attempt, start.endpoint, remaining_->promptTokens, remaining_->maxTokens);
-        context_.chooser.policy().attemptStarted(now, route_, start.endpoint);
+        if (spec_->kind == RequestKind::Completion) {
+            context_.chooser.policy().attemptStarted(now, route_, start.endpoint);
+        }
     }
     trace_.add(now, "attempt started", start.attempt.value() + " on " + start.endpoint.value());
     context_.actions.emplace_back(std::move(start));
@@ -593,8 +597,8 @@
 
 void RequestController::observe(TimePoint now, const AttemptEnded &end)
 {
-    // A group's times tell nothing about one endpoint.
-    if (group_ != nullptr || !attempt_->firstTokenAt) {
+    // A group's times tell nothing about one endpoint, nor a service's about prefill and decoding.
+    if (spec_->kind == RequestKind::Service || group_ != nullptr || !attempt_->firstTokenAt) {
         return;
     }
     AttemptObservation observation;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -9,7 +9,7 @@
 #include "entry/entryservice.h"
 #include "entry/operatorsserver.h"
 #include "platform/httpvmlist.h"
-#include "routing/routingpolicy.h"
+#include "routing/expectedfirsttokenpolicy.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -89,8 +89,10 @@
             EngineClientSettings{.owner = settings_.vm.value() + '/' + std::to_string(incarnation_)},
             [this](std::vector<DispatchInput> inputs) { dispatch_->postWithBackpressure(std::move(inputs)); },
             metrics_);
-        dispatch_ = std::make_unique<DispatchTask>(
-            std::make_unique<Dispatcher>(dispatcherSettings(settings_, incarnation_), std::make_unique<LeastOutstandingPolicy>()), outputs());
+        dispatch_
+            = std::make_unique<DispatchTask>(std::make_unique<Dispatcher>(dispatcherSettings(settings_, incarnation_),
+                                                                          std::make_unique<ExpectedFirstTokenPolicy>(Objectives(), std::vector<ZoneLink>())),
+                                             outputs());
         service_ = std::make_unique<EntryService>(settings_.grpc,
                                                   EntryService::Source{.vm = settings_.vm,
                                                                        .incarnation = incarnation_,
--- a/src/routing/expectedfirsttokenpolicy.cpp
+++ b/src/routing/expectedfirsttokenpolicy.cpp
@@ -74,11 +74,7 @@
 ExpectedFirstTokenPolicy::ExpectedFirstTokenPolicy(const Objectives &objectives, const std::vector<ZoneLink> &links)
     : objectives_(objectives)
 {
-    for (const ZoneLink &link : links) {
-        const double crossing = (2 * seconds(link.delay)) + (link.cost * LinkCostSeconds);
-        crossings_[{link.from, link.to}] = crossing;
-        crossings_[{link.to, link.from}] = crossing;
-    }
+    setLinks(links);
 }
 
 std::optional<RouteChoice>
@@ -96,6 +92,14 @@
     return RouteChoice{picked.candidate->endpoint->id, duration(picked.firstToken), duration(picked.firstToken + prepared.decodeSeconds)};
 }
 
+void ExpectedFirstTokenPolicy::documentChanged(const ServingDocument &document)
+{
+    objectives_ = document.objectives;
+    setLinks(document.links);
+    // They were computed from the old objectives and links and refer to the old document's endpoints.
+    partitions_.clear();
+}
+
 void ExpectedFirstTokenPolicy::requestArrived(TimePoint now, const RouteRequest &request)
 {
     constexpr double typicalMemoryTokens = 400'000;
@@ -126,6 +130,16 @@
     prefixes_.forget(endpoint);
 }
 
+void ExpectedFirstTokenPolicy::setLinks(const std::vector<ZoneLink> &links)
+{
+    crossings_.clear();
+    for (const ZoneLink &link : links) {
+        const double crossing = (2 * seconds(link.delay)) + (link.cost * LinkCostSeconds);
+        crossings_[{link.from, link.to}] = crossing;
+        crossings_[{link.to, link.from}] = crossing;
+    }
+}
+
 ExpectedFirstTokenPolicy::Plan
 ExpectedFirstTokenPolicy::plan(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates) const
 {
--- a/src/routing/expectedfirsttokenpolicy.h
+++ b/src/routing/expectedfirsttokenpolicy.h
@@ -28,6 +28,7 @@
     [[nodiscard]] std::optional<RouteChoice>
     choose(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const override;
 
+    void documentChanged(const ServingDocument &document) override;
     void requestArrived(TimePoint now, const RouteRequest &request) override;
     void attemptStarted(TimePoint now, const RouteRequest &request, const EndpointId &endpoint) override;
     void attemptFinished(TimePoint now, const AttemptObservation &observation) override;
@@ -121,6 +122,7 @@
     [[nodiscard]] double prefillSeconds(const Plan &plan, const Slot &slot) const;
     [[nodiscard]] double harm(const Plan &plan, const Slot &slot, double prefill) const;
     [[nodiscard]] static bool isKeptForShort(const Plan &plan, const Slot &slot);
+    void setLinks(const std::vector<ZoneLink> &links);
     [[nodiscard]] double crossingSeconds(const ZoneId &from, const ZoneId &to) const;
     [[nodiscard]] Arrivals arrivals(TimePoint now, const Plan &plan) const;
     [[nodiscard]] static double fillLevel(const std::vector<Estimate> &estimates, const Arrivals &arrivals);
--- a/src/routing/routingpolicy.cpp
+++ b/src/routing/routingpolicy.cpp
@@ -5,6 +5,10 @@
 namespace Lentillock
 {
 
+void RoutingPolicy::documentChanged(const ServingDocument & /*document*/)
+{
+}
+
 void RoutingPolicy::requestArrived(TimePoint /*now*/, const RouteRequest & /*request*/)
 {
 }
--- a/src/routing/routingpolicy.h
+++ b/src/routing/routingpolicy.h
@@ -2,6 +2,7 @@
 
 #include "base/identifier.h"
 #include "base/time.h"
+#include "config/servingdocument.h"
 #include "routing/fleetstate.h"
 
 #include <cstdint>
@@ -55,6 +56,8 @@
     [[nodiscard]] virtual std::optional<RouteChoice>
     choose(TimePoint now, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t random) const = 0;
 
+    /// Another serving document is in force. What has been learnt stays.
+    virtual void documentChanged(const ServingDocument &document);
     /// The request has come in and may have to wait.
     virtual void requestArrived(TimePoint now, const RouteRequest &request);
     /// An attempt for @p request has been started on @p endpoint.
--- a/tests/dispatch/dispatchertest.cpp
+++ b/tests/dispatch/dispatchertest.cpp
@@ -17,12 +17,24 @@
     std::optional<RouteChoice>
     choose(TimePoint /*now*/, const RouteRequest &request, const std::vector<FleetState::Candidate> &candidates, std::uint64_t /*random*/) const override
     {
-        if (request.promptTokens > maxPrompt || candidates.empty()) {
+        if (refusing || request.promptTokens > maxPrompt || candidates.empty()) {
             return std::nullopt;
         }
         return RouteChoice{candidates.front().endpoint->id, expectedTotal, expectedTotal};
     }
 
+    void documentChanged(const ServingDocument &document) override
+    {
+        links.push_back(document.links.size());
+    }
+
+    void endpointFailed(TimePoint /*now*/, const EndpointId & /*endpoint*/) override
+    {
+        refusing = true;
+    }
+
+    std::vector<std::size_t> links; ///< Number of links in each document that the policy was told of.
+    bool refusing = false; ///< As a policy that excludes failed endpoints until their next load report.
     std::uint64_t maxPrompt = 1000;
     Duration expectedTotal = 100ms;
 };
@@ -132,5 +144,46 @@
     EXPECT_TRUE(dispatcher_->explain(RequestId("r3"), now_).has_value());
 }
 
+// Guards against a policy that keeps the objectives and links of an old document, and against a rebuild of its state with each view.
+TEST_F(DispatcherTest, View_WithAnotherDocument_IsToldToThePolicyOnce)
+{
+    EXPECT_EQ(policy_->links, std::vector<std::size_t>({0}));
+    auto document = std::make_shared<ServingDocument>();
+    document->links.push_back({ZoneId("z1"), ZoneId("z2"), 10ms, 1});
+    auto view = std::make_shared<ServingView>();
+    view->document = document;
+    view->receivedAt = now_;
+    give(ViewChanged{view});
+    give(ViewChanged{std::make_shared<ServingView>(*view)});
+    EXPECT_EQ(policy_->links, std::vector<std::size_t>({0, 1}));
+}
+
+// Guards against a service endpoint that gets no calls for ever after one refused connection, as no load report shows that it is back.
+TEST_F(DispatcherTest, ServiceEndpoint_HasRefusedAConnection_IsTriedAgain)
+{
+    auto document = std::make_shared<ServingDocument>();
+    Endpoint endpoint;
+    endpoint.id = EndpointId("s1");
+    endpoint.kind = EndpointKind::Service;
+    endpoint.pathPrefix = "/ledger";
+    document->endpoints.push_back(endpoint);
+    auto view = std::make_shared<ServingView>();
+    view->document = document;
+    view->endpoints[endpoint.id] = {endpoint.id, EndpointHealth::Live, std::nullopt, now_};
+    view->receivedAt = now_;
+    give(ViewChanged{view});
+    auto spec = std::make_shared<RequestSpec>();
+    spec->id = RequestId("r1");
+    spec->kind = RequestKind::Service;
+    spec->path = "/ledger/balance";
+    spec->deadline = now_ + 5s;
+    give(RequestArrived{spec});
+    ASSERT_NE(first<StartAttempt>(), nullptr);
+    give(AttemptFailed{first<StartAttempt>()->attempt, AttemptFailure::NotConnected, 0, "refused"});
+    now_ += 100ms;
+    actions_ = dispatcher_->advance(now_);
+    EXPECT_NE(first<StartAttempt>(), nullptr);
+}
+
 }
 }
--- a/tests/routing/expectedfirsttokenpolicytest.cpp
+++ b/tests/routing/expectedfirsttokenpolicytest.cpp
@@ -172,5 +172,27 @@
     EXPECT_EQ(otherGroup->expectedFirstToken, noPrefix->expectedFirstToken);
 }
 
+// Guards against links of an old document, and against a document change that forgets what the policy has learnt.
+TEST_F(ExpectedFirstTokenPolicyTest, DocumentChanged_LinksAreReplaced_LearntPrefixesStay)
+{
+    FleetBuilder builder(1, now_ - 300ms);
+    const FleetState fleet = builder.build();
+    const auto candidates = fleet.candidatesForModel(ModelId("model"));
+    RouteRequest routed = request(25'600);
+    routed.zone = ZoneId("zone-far");
+    routed.prefixBlocks = prefixBlockHashes(std::string(50 * PrefixBlockBytes, 'x'), "group-a");
+    ExpectedFirstTokenPolicy policy({}, {{ZoneId("zone-far"), ZoneId("zone-0"), 1000ms, 0}});
+    const auto unlearnt = policy.choose(now_, routed, candidates, 1);
+    policy.attemptStarted(now_ - 10s, routed, FleetBuilder::id(0));
+    const auto learnt = policy.choose(now_, routed, candidates, 1);
+    ServingDocument document;
+    document.links = {{ZoneId("zone-far"), ZoneId("zone-0"), 3000ms, 0}};
+    policy.documentChanged(document);
+    const auto changed = policy.choose(now_, routed, candidates, 1);
+    ASSERT_TRUE(unlearnt && learnt && changed);
+    EXPECT_LT(learnt->expectedFirstToken, unlearnt->expectedFirstToken);
+    EXPECT_NEAR(std::chrono::duration<double>(changed->expectedFirstToken - learnt->expectedFirstToken).count(), 4.0, 1e-3);
+}
+
 }
 }
