--- a/src/control/configstate.h
+++ b/src/control/configstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "config/servingdocument.h"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
 /// The configuration in force in this process. Never modified after it has been built.
 struct ConfigState {
     std::uint64_t version = 0;
+    TimePoint inForceSince; ///< When the version came into force in this process.
     std::uint64_t throughOffset = 0; ///< Next offset of the log that the fold reads.
     std::uint32_t rulesVersion = 0;
     std::vector<ConfigSectionState> sections;
--- a/src/control/configtask.cpp
+++ b/src/control/configtask.cpp
@@ -132,13 +132,13 @@
 
 void ConfigTask::perform(const ConfigChanged &action)
 {
-    Log::write(Log::Level::Info, "config-in-force", {{"version", std::to_string(action.version)}});
+    Log::write(Log::Level::Info, "config_in_force", {{"version", std::to_string(action.version)}});
 }
 
 void ConfigTask::perform(const ConfigAlarm &action)
 {
     metrics_.increment("lentillock_config_alarms_total");
-    Log::write(Log::Level::Error, "config-alarm", {{"message", action.message}});
+    Log::write(Log::Level::Error, "config_alarm", {{"message", action.message}});
 }
 
 void ConfigTask::publishIfChanged()
@@ -156,6 +156,7 @@
 {
     auto state = std::make_shared<ConfigState>();
     state->version = follower_.version();
+    state->inForceSince = state->version == published_->version ? published_->inForceSince : std::chrono::steady_clock::now();
     state->rulesVersion = newestRulesVersion();
     state->document = follower_.document();
     state->ready = follower_.isReady();
--- a/src/control/fleettask.cpp
+++ b/src/control/fleettask.cpp
@@ -145,7 +145,7 @@
     }
     for (const EndpointRumor &rumor : tracker_.takeRumors()) {
         metrics_.increment("lentillock_endpoint_changes_total", {{"health", healthName(rumor.health)}});
-        Log::write(Log::Level::Info, "endpoint-changed", {{"endpoint", rumor.endpoint.value()}, {"health", healthName(rumor.health)}});
+        Log::write(Log::Level::Info, "endpoint_changed", {{"endpoint", rumor.endpoint.value()}, {"health", healthName(rumor.health)}});
         membership_.addRumor(rumor);
     }
 }
@@ -319,7 +319,7 @@
         return;
     }
     metrics_.increment("lentillock_reclaimed_allocations_total");
-    Log::write(Log::Level::Info, "allocation-reclaimed", {{"endpoint", action.endpoint.value()}, {"allocation", action.allocation.value()}});
+    Log::write(Log::Level::Info, "allocation_reclaimed", {{"endpoint", action.endpoint.value()}, {"allocation", action.allocation.value()}});
     observer_.releaseAllocation(address->second, action.allocation);
 }
 
--- a/src/control/statedump.cpp
+++ b/src/control/statedump.cpp
@@ -35,6 +35,7 @@
         sections[section.name] = section.version;
     }
     return {{"version", config.version},
+            {"inForceForMs", config.version == 0 ? 0 : ageInMilliseconds(config.inForceSince)},
             {"throughOffset", config.throughOffset},
             {"rulesVersion", config.rulesVersion},
             {"ready", config.ready},
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -256,6 +256,11 @@
         if (!started_) {
             return nullptr;
         }
+        constexpr std::string_view requestPart = "request/";
+        if (part.starts_with(requestPart)) {
+            const auto explanation = dispatch_->explain(RequestId(part.substr(requestPart.size())));
+            return explanation ? boost::json::value(*explanation) : boost::json::value(nullptr);
+        }
         boost::json::object all{{"vm", settings_.vm.value()}, {"zone", settings_.zone.value()}, {"incarnation", incarnation_}};
         all["ready"] = readinessProblem().empty();
         all["notReadyReason"] = readinessProblem();
