Dispatch: Refuse requests whose predicted wait is too long

Cause: OverloadControl was not called, so requests queued until the queue was full or their deadline passed. Change: the dispatcher asks OverloadControl::refuse() before it queues a new request and tells it of each started attempt, so groups that give their reservations back are not counted as outflow. A refusal is 429 "overloaded", was-not-run, with the predicted time as retryAfter. A full queue now also answers 429 instead of 503: one code, one status.

--- a/src/dispatch/dispatchcontext.h
+++ b/src/dispatch/dispatchcontext.h
@@ -8,6 +8,7 @@
 #include "dispatch/messages.h"
 #include "dispatch/retrybudget.h"
 #include "routing/admissionqueue.h"
+#include "routing/overloadcontrol.h"
 
 #include <set>
 #include <unordered_map>
@@ -32,6 +33,7 @@
     IdentifierSource identifiers;
     RetryBudget retries;
     AdmissionQueue queue;
+    OverloadControl overload;
     AbandonedReservations abandonedReservations;
     DispatchCounters counters;
     std::vector<DispatchAction> actions; ///< Collected for the caller of the dispatcher.
--- a/src/dispatch/failure.cpp
+++ b/src/dispatch/failure.cpp
@@ -15,7 +15,12 @@
 
 Failure overloaded()
 {
-    return {503, "overloaded", "too many requests wait for an endpoint", true};
+    return {429, "overloaded", "too many requests wait for an endpoint", true};
+}
+
+Failure overloaded(Duration retryAfter)
+{
+    return {429, "overloaded", "the request is not expected to get an endpoint in time", true, retryAfter};
 }
 
 Failure draining()
--- a/src/dispatch/failure.h
+++ b/src/dispatch/failure.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "base/time.h"
+
+#include <optional>
 #include <string>
 
 namespace Lentillock
@@ -11,6 +14,7 @@
     std::string code;
     std::string message;
     bool retryLater = false; ///< The caller is told when to try again.
+    std::optional<Duration> retryAfter = std::nullopt; ///< When to try again, if it is known better than by the setting.
 
     bool operator==(const Failure &) const = default;
 };
@@ -21,6 +25,7 @@
 Failure deadlineExceeded();
 Failure cannotFinishInTime();
 Failure overloaded();
+Failure overloaded(Duration retryAfter);
 Failure draining();
 Failure aborted();
 Failure viewExpired();
--- a/src/dispatch/requestcontroller.cpp
+++ b/src/dispatch/requestcontroller.cpp
@@ -56,6 +56,10 @@
     if (spec_->kind == RequestKind::Completion) {
         context_.chooser.policy().requestArrived(now, route_);
     }
+    if (const std::optional<Duration> retryAfter = context_.overload.refuse(now, queueEntry(), context_.queue)) {
+        fail(now, Failures::overloaded(*retryAfter));
+        return;
+    }
     enqueue(now, now);
 }
 
@@ -368,6 +372,7 @@
     context_.attempts[start.attempt] = spec_->id;
     context_.counters.attempts += 1;
     context_.retries.requestDispatched(now, spec_->workspace);
+    context_.overload.dispatched(now, remaining_->promptTokens);
     if (group_ == nullptr) {
         fleet.attemptStarted(start.attempt, start.endpoint, remaining_->promptTokens, remaining_->maxTokens);
         if (spec_->kind == RequestKind::Completion) {
@@ -641,7 +646,9 @@
     action.status = failure.status;
     action.code = failure.code;
     action.message = failure.message;
-    action.retryAfter = failure.retryLater ? std::optional(std::chrono::duration_cast<milliseconds>(context_.settings.retryAfter)) : std::nullopt;
+    if (failure.retryLater) {
+        action.retryAfter = std::chrono::ceil<milliseconds>(failure.retryAfter.value_or(context_.settings.retryAfter));
+    }
     (runState_.state() == RunState::WasNotRun ? context_.counters.failedNotRun : context_.counters.failedUnknown) += 1;
     trace_.add(now, "failed", failure.code + ": " + failure.message);
     finish(now, std::move(action));
