Dispatch: Enforce the rate limits of workspaces

Cause: WorkspaceLimits was not called, so the limits of the serving document had no effect. Change: the dispatcher asks WorkspaceLimits::admit() for each request, with its prompt and maximum answer tokens. A refusal is 429 "rate_limited", was-not-run, with retryAfter, from which the HTTP answer gets Retry-After. VMs and their expected number come from the view's members, also with each heartbeat, so that the memory of a larger fleet does not expire while the view stays the same; workspaces come from the document. The VMs do not exchange their demand yet. A VM without news would take the others for idle and each would use most of the limit, so WorkspaceLimits gets a mode of equal shares, which the dispatcher uses.

--- a/src/dispatch/dispatchcontext.h
+++ b/src/dispatch/dispatchcontext.h
@@ -9,6 +9,7 @@
 #include "dispatch/retrybudget.h"
 #include "routing/admissionqueue.h"
 #include "routing/overloadcontrol.h"
+#include "routing/workspacelimits.h"
 
 #include <set>
 #include <unordered_map>
@@ -25,6 +26,7 @@
         , identifiers(settings.vm, settings.incarnation)
         , retries(settings)
         , queue(settings.maxQueueLength)
+        , limits(settings.vm, 1, WorkspaceLimits::Sharing::Equal)
     {
     }
 
@@ -34,6 +36,7 @@
     RetryBudget retries;
     AdmissionQueue queue;
     OverloadControl overload;
+    WorkspaceLimits limits; ///< In equal shares until the VMs tell each other their demand.
     AbandonedReservations abandonedReservations;
     DispatchCounters counters;
     std::vector<DispatchAction> actions; ///< Collected for the caller of the dispatcher.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -149,6 +149,8 @@
         request->second->refuse(now, Failures::draining());
     } else if (context_.chooser.isViewExpired(now)) {
         request->second->refuse(now, Failures::viewExpired());
+    } else if (const auto retryAfter = context_.limits.admit(now, message.spec->workspace, message.spec->promptTokens + message.spec->maxTokens)) {
+        request->second->refuse(now, Failures::rateLimited(*retryAfter));
     } else {
         request->second->admit(now);
         context_.queueDue = queueWasDue || context_.queue.size() <= context_.settings.maxQueueForArrival;
@@ -178,10 +180,15 @@
     }
 }
 
-void Dispatcher::take(TimePoint /*now*/, const ViewChanged &message)
+void Dispatcher::take(TimePoint now, const ViewChanged &message)
 {
     if (message.view != nullptr) {
+        const ServingViewPtr previous = context_.chooser.fleet().view();
         context_.chooser.viewChanged(message.view);
+        if (message.view->document != nullptr && (previous == nullptr || previous->document != message.view->document)) {
+            context_.limits.setWorkspaces(message.view->document->workspaces);
+        }
+        updateLimits(now);
         context_.queueDue = true;
     }
 }
@@ -189,6 +196,7 @@
 void Dispatcher::take(TimePoint now, const ViewConfirmed & /*message*/)
 {
     context_.chooser.viewConfirmed(now);
+    updateLimits(now);
 }
 
 void Dispatcher::take(TimePoint /*now*/, const DrainStarted & /*message*/)
@@ -244,6 +252,21 @@
     return found == context_.allocations.end() ? nullptr : &found->second;
 }
 
+void Dispatcher::updateLimits(TimePoint now)
+{
+    const ServingViewPtr &view = context_.chooser.fleet().view();
+    if (view == nullptr) {
+        return;
+    }
+    std::vector<VmId> vms;
+    vms.reserve(view->members.size());
+    for (const MemberState &member : view->members) {
+        vms.push_back(member.id);
+    }
+    context_.limits.setExpectedVms(vms.size());
+    context_.limits.setVms(now, vms);
+}
+
 void Dispatcher::advanceDue(TimePoint now)
 {
     context_.abandonedReservations.forgetExpired(now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -67,6 +67,7 @@
     [[nodiscard]] const RequestId *requestOf(const AttemptId &attempt) const;
     [[nodiscard]] const RequestId *requestOf(const AllocationId &allocation) const;
 
+    void updateLimits(TimePoint now);
     void advanceDue(TimePoint now);
     void placeWaiting(TimePoint now);
     void tryQueue(TimePoint now);
--- a/src/dispatch/failure.cpp
+++ b/src/dispatch/failure.cpp
@@ -23,6 +23,11 @@
     return {429, "overloaded", "the request is not expected to get an endpoint in time", true, retryAfter};
 }
 
+Failure rateLimited(Duration retryAfter)
+{
+    return {429, "rate_limited", "the workspace has used up its rate of requests or tokens", true, retryAfter};
+}
+
 Failure draining()
 {
     return {503, "draining", "this entry is shutting down and accepts no new requests", true};
--- a/src/dispatch/failure.h
+++ b/src/dispatch/failure.h
@@ -26,6 +26,7 @@
 Failure cannotFinishInTime();
 Failure overloaded();
 Failure overloaded(Duration retryAfter);
+Failure rateLimited(Duration retryAfter);
 Failure draining();
 Failure aborted();
 Failure viewExpired();
--- a/src/routing/workspacelimits.cpp
+++ b/src/routing/workspacelimits.cpp
@@ -22,9 +22,10 @@
 
 }
 
-WorkspaceLimits::WorkspaceLimits(VmId self, std::size_t expectedVms)
+WorkspaceLimits::WorkspaceLimits(VmId self, std::size_t expectedVms, Sharing sharing)
     : self_(std::move(self))
     , expectedVms_(expectedVms)
+    , sharing_(sharing)
     , vms_{self_}
 {
 }
@@ -132,12 +133,15 @@
 
 double WorkspaceLimits::shareByDemand(TimePoint now, const State &state) const
 {
+    const double equal = 1 / static_cast<double>(vms_.size());
+    if (sharing_ == Sharing::Equal) {
+        return visiblePart(now) * equal;
+    }
     const double own = demandRate(state, now);
     double sum = own;
     for (const auto &[vm, demand] : state.others) {
         sum += vms_.contains(vm) ? demand.requestsPerSecond : 0;
     }
-    const double equal = 1 / static_cast<double>(vms_.size());
     const double byDemand = sum > 0 ? own / sum : equal;
     return visiblePart(now) * ((EqualPart * equal) + ((1 - EqualPart) * byDemand));
 }
@@ -149,7 +153,8 @@
     const bool wasIdle = shares.empty() || now - shares.back().at > RaiseDelay;
     if (wasIdle) {
         // The others may have divided this VM's part by demand among themselves.
-        shares.assign(1, {now, EqualPart * visiblePart(now) / static_cast<double>(vms_.size())});
+        const double safe = (sharing_ == Sharing::Equal ? 1 : EqualPart) / static_cast<double>(vms_.size());
+        shares.assign(1, {now, safe * visiblePart(now)});
     }
     if (const double current = shareByDemand(now, state); now - shares.back().at >= ShareInterval || current < shares.back().share) {
         shares.push_back({now, current});
--- a/src/routing/workspacelimits.h
+++ b/src/routing/workspacelimits.h
@@ -37,8 +37,13 @@
     /// The total over all VMs may exceed a limit by at most this factor while VMs cannot see each other.
     static constexpr double MaxExcess = 2;
 
+    enum class Sharing {
+        ByDemand, ///< The VMs tell each other their demand; a VM that tells nothing counts as one without demand.
+        Equal, ///< They do not, so each VM has to assume that the others use their parts.
+    };
+
     /// @p expectedVms bounds the share of a VM that has not seen the others yet.
-    WorkspaceLimits(VmId self, std::size_t expectedVms);
+    WorkspaceLimits(VmId self, std::size_t expectedVms, Sharing sharing = Sharing::ByDemand);
 
     /// The number of VMs that the fleet is meant to have now.
     void setExpectedVms(std::size_t vms);
@@ -102,6 +107,7 @@
 
     VmId self_;
     std::size_t expectedVms_;
+    Sharing sharing_;
     std::unordered_set<VmId> vms_;
     std::vector<CountSeen> counts_; ///< Falling numbers of VMs with rising times at which they were last seen.
     std::map<WorkspaceId, State> states_;
--- a/tests/dispatch/dispatchertest.cpp
+++ b/tests/dispatch/dispatchertest.cpp
@@ -65,10 +65,50 @@
         give(ViewChanged{view});
     }
 
-    void arrive(const std::string &id, std::uint64_t tokens)
+    /// A view with the workspace "a", limited to @p requestsPerSecond, and with VMs of which the first is the dispatcher's.
+    void limit(double requestsPerSecond, double tokensPerSecond, std::size_t vms)
+    {
+        auto document = std::make_shared<ServingDocument>();
+        Endpoint endpoint;
+        endpoint.id = EndpointId("e1");
+        endpoint.model = ModelId("m");
+        document->endpoints.push_back(endpoint);
+        Workspace workspace;
+        workspace.id = WorkspaceId("a");
+        workspace.requestsPerSecond = requestsPerSecond;
+        workspace.tokensPerSecond = tokensPerSecond;
+        document->workspaces.push_back(workspace);
+        auto view = std::make_shared<ServingView>();
+        view->document = document;
+        view->endpoints[endpoint.id] = {endpoint.id, EndpointHealth::Live, std::nullopt, now_};
+        for (std::size_t vm = 1; vm <= vms; ++vm) {
+            MemberState member;
+            member.id = VmId("vm" + std::to_string(vm));
+            view->members.push_back(member);
+        }
+        view->receivedAt = now_;
+        give(ViewChanged{view});
+    }
+
+    /// How many of @p requests that arrive during 10 s are admitted.
+    std::size_t admitted(std::size_t requests, const std::string &workspace)
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < requests; ++i) {
+            now_ += duration_cast<Duration>(10s) / requests;
+            give(ViewConfirmed{});
+            arrive("w" + std::to_string(i), 1, workspace);
+            count += first<StartAttempt>() != nullptr ? 1 : 0;
+            give(CallerGone{RequestId("w" + std::to_string(i))});
+        }
+        return count;
+    }
+
+    void arrive(const std::string &id, std::uint64_t tokens, const std::string &workspace = {})
     {
         auto spec = std::make_shared<RequestSpec>();
         spec->id = RequestId(id);
+        spec->workspace = WorkspaceId(workspace);
         spec->model = ModelId("m");
         spec->promptTokens = tokens;
         spec->deadline = now_ + 5s;
@@ -212,5 +252,49 @@
     EXPECT_TRUE(actions_.empty());
 }
 
+// Guards against limits that are configured but not in force.
+TEST_F(DispatcherTest, Workspace_AboveItsRequestRate_IsRefusedAsNotRunWithRetryAfter)
+{
+    limit(1, 0, 1);
+    arrive("r1", 1, "a");
+    ASSERT_NE(first<StartAttempt>(), nullptr);
+    arrive("r2", 1, "a");
+    const FinishRequest *refusal = first<FinishRequest>();
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->request, RequestId("r2"));
+    EXPECT_EQ(refusal->status, 429);
+    EXPECT_EQ(refusal->code, "rate_limited");
+    EXPECT_EQ(refusal->runState, RunState::WasNotRun);
+    ASSERT_TRUE(refusal->retryAfter.has_value());
+    EXPECT_GT(*refusal->retryAfter, 0ms);
+    EXPECT_LE(*refusal->retryAfter, 60s);
+    arrive("other", 1, "b");
+    EXPECT_NE(first<StartAttempt>(), nullptr);
+}
+
+// Guards against a token limit that is configured but not in force.
+TEST_F(DispatcherTest, Workspace_AboveItsTokenRate_IsRefused)
+{
+    limit(0, 10, 1);
+    arrive("r1", 500, "a");
+    ASSERT_NE(first<StartAttempt>(), nullptr);
+    arrive("r2", 1, "a");
+    ASSERT_NE(first<FinishRequest>(), nullptr);
+    EXPECT_EQ(first<FinishRequest>()->code, "rate_limited");
+}
+
+// Guards against a limit that grows with the number of VMs: with four, each one admits its equal part, and one that has lost the others half.
+TEST_F(DispatcherTest, Workspace_OnOneOfFourVms_GetsAnEqualPartOfItsRate)
+{
+    limit(20, 0, 4);
+    const std::size_t equalPart = admitted(1000, "a");
+    EXPECT_GE(equalPart, 45U);
+    EXPECT_LE(equalPart, 60U);
+    limit(20, 0, 1);
+    const std::size_t alone = admitted(1000, "a");
+    EXPECT_GE(alone, 80U);
+    EXPECT_LE(alone, 110U);
+}
+
 }
 }
