Routing: Match path prefixes of services by whole segments

FleetState::candidatesForPath compared characters: with the prefixes /a and /a/b, the path /a/bc went to /a/b although the entry had checked the permission for /a.

isBelow moves from WorkspaceDirectory to base/pathprefix.h, and both use it. The validator's own isBelow treats an empty prefix differently and stays.

--- a/src/entry/filterchain.cpp
+++ b/src/entry/filterchain.cpp
@@ -1,5 +1,6 @@
 #include "entry/filterchain.h"
 
+#include "base/pathprefix.h"
 #include "entry/completionbody.h"
 #include "routing/prefixblocks.h"
 
--- a/src/entry/workspacedirectory.cpp
+++ b/src/entry/workspacedirectory.cpp
@@ -1,6 +1,7 @@
 #include "entry/workspacedirectory.h"
 
 #include "base/hash.h"
+#include "base/pathprefix.h"
 
 #include <algorithm>
 #include <utility>
@@ -56,9 +57,4 @@
     return found == services_.end() ? nullptr : *found;
 }
 
-bool isBelow(std::string_view path, std::string_view prefix)
-{
-    return !prefix.empty() && path.starts_with(prefix) && (path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/');
-}
-
 }
--- a/src/entry/workspacedirectory.h
+++ b/src/entry/workspacedirectory.h
@@ -38,7 +38,4 @@
 
 using WorkspaceDirectoryPtr = std::shared_ptr<const WorkspaceDirectory>;
 
-/// Whether @p path is @p prefix or below it. "/a" does not cover "/ab".
-bool isBelow(std::string_view path, std::string_view prefix);
-
 }
--- a/src/routing/fleetstate.cpp
+++ b/src/routing/fleetstate.cpp
@@ -1,5 +1,7 @@
 #include "routing/fleetstate.h"
 
+#include "base/pathprefix.h"
+
 #include <utility>
 
 namespace Lentillock
@@ -99,7 +101,7 @@
     const Indices *longest = nullptr;
     std::size_t longestLength = 0;
     for (const auto &[prefix, services] : services_) {
-        if (path.starts_with(prefix) && prefix.size() >= longestLength) {
+        if (isBelow(path, prefix) && prefix.size() >= longestLength) {
             longest = &services;
             longestLength = prefix.size();
         }
