Base: Read the settings of both daemons with one class

Checks of addresses, URLs, identifiers and numbers and the help lines of number settings were written twice, in src/entry and src/control. SettingsReader in src/base now has them, and both use its NumberSetting and TextSetting.

The operators' HTTP servers stay apart: they differ in routing, errors and interface, so merging them needs a change of their callers.

--- a/src/control/controlmain.cpp
+++ b/src/control/controlmain.cpp
@@ -111,10 +111,7 @@
     for (const TextSetting &setting : controlTextSettings()) {
         text << "  " << setting.name << " (" << (setting.required ? "required" : "optional") << "): " << setting.description << '\n';
     }
-    for (const NumberSetting &setting : controlNumberSettings()) {
-        text << "  " << setting.name << " (" << setting.unit << ", default " << setting.defaultValue << ", " << setting.minimum << " to " << setting.maximum
-             << "): " << setting.description << '\n';
-    }
+    text << helpText(controlNumberSettings());
     text << "\nExit status: 0 success, 1 errors in the settings, 2 wrong usage, 3 failure at run time.\n";
     return text.str();
 }
--- a/src/control/controlsettings.cpp
+++ b/src/control/controlsettings.cpp
@@ -1,81 +1,8 @@
 #include "control/controlsettings.h"
 
-#include "base/jsonreader.h"
-
-#include <arpa/inet.h>
-
-#include <charconv>
-#include <cstdint>
-#include <map>
-
 namespace Lentillock
 {
 
-namespace
-{
-
-constexpr std::string_view HttpScheme = "http://";
-
-bool isAddress(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
-    }
-    in_addr parsed{};
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-    return error == std::errc() && stop == end && inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &parsed) == 1;
-}
-
-std::string addressSetting(JsonReader &reader, std::string_view name)
-{
-    std::string address = reader.requiredString(name);
-    if (!address.empty() && !isAddress(address)) {
-        reader.addError(name, "must be an address of the form IP:PORT");
-    }
-    return address;
-}
-
-std::string urlSetting(JsonReader &reader, std::string_view name, bool required)
-{
-    std::string url = required ? reader.requiredString(name) : reader.string(name, "");
-    if (!url.empty() && !url.starts_with(HttpScheme)) {
-        reader.addError(name, "must be a URL that starts with http://");
-    }
-    return url;
-}
-
-std::vector<std::string> seedsSetting(JsonReader &reader)
-{
-    std::vector<std::string> seeds = reader.strings("seeds");
-    for (std::size_t i = 0; i < seeds.size(); ++i) {
-        if (!isAddress(seeds[i])) {
-            reader.findings().addError(reader.source(), reader.pointerTo("seeds") + '/' + std::to_string(i), "must be an address of the form IP:PORT");
-        }
-    }
-    return seeds;
-}
-
-std::map<std::string_view, std::int64_t> numberSettings(JsonReader &reader)
-{
-    std::map<std::string_view, std::int64_t> values;
-    for (const NumberSetting &setting : controlNumberSettings()) {
-        values[setting.name] = reader.integer(setting.name, setting.defaultValue, setting.minimum, setting.maximum);
-    }
-    return values;
-}
-
-void requireText(JsonReader &reader, std::string_view name, const std::string &value)
-{
-    if (value.empty() || value.find('/') != std::string::npos) {
-        reader.addError(name, "must not be empty or contain a slash");
-    }
-}
-
-}
-
 const std::vector<NumberSetting> &controlNumberSettings()
 {
     static const std::vector<NumberSetting> Settings{
@@ -112,19 +39,17 @@
         return std::nullopt;
     }
     Findings problems;
-    JsonReader reader(*value, source, "", problems);
+    SettingsReader reader(*value, source, problems);
     ControlSettings settings;
-    settings.vm = VmId(reader.requiredString("vm"));
-    requireText(reader, "vm", settings.vm.value());
-    settings.zone = ZoneId(reader.requiredString("zone"));
-    requireText(reader, "zone", settings.zone.value());
-    settings.grpc = addressSetting(reader, "grpc");
-    settings.gossip = addressSetting(reader, "gossip");
-    settings.operators = addressSetting(reader, "operators");
-    settings.seeds = seedsSetting(reader);
-    settings.log = urlSetting(reader, "log", true);
-    settings.vmList = urlSetting(reader, "vmList", false);
-    auto numbers = numberSettings(reader);
+    settings.vm = VmId(reader.identifier("vm"));
+    settings.zone = ZoneId(reader.identifier("zone"));
+    settings.grpc = reader.address("grpc");
+    settings.gossip = reader.address("gossip");
+    settings.operators = reader.address("operators");
+    settings.seeds = reader.addresses("seeds");
+    settings.log = reader.requiredUrl("log");
+    settings.vmList = reader.url("vmList");
+    auto numbers = reader.numbers(controlNumberSettings());
     settings.pollInterval = milliseconds(numbers["pollIntervalMs"]);
     settings.pollTimeout = milliseconds(numbers["pollTimeoutMs"]);
     settings.vmListInterval = milliseconds(numbers["vmListIntervalMs"]);
--- a/src/control/controlsettings.h
+++ b/src/control/controlsettings.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "base/identifier.h"
+#include "base/settingsreader.h"
 #include "base/time.h"
 
 #include <optional>
@@ -33,23 +34,6 @@
     bool operator==(const ControlSettings &) const = default;
 };
 
-/// A setting with a number, for readers and for the help text.
-struct NumberSetting {
-    const char *name;
-    const char *unit;
-    std::int64_t defaultValue;
-    std::int64_t minimum;
-    std::int64_t maximum;
-    const char *description;
-};
-
-/// A setting with a text or a list of texts.
-struct TextSetting {
-    const char *name;
-    bool required;
-    const char *description;
-};
-
 const std::vector<NumberSetting> &controlNumberSettings();
 const std::vector<TextSetting> &controlTextSettings();
 
--- a/src/entry/entrycommand.cpp
+++ b/src/entry/entrycommand.cpp
@@ -40,13 +40,10 @@
 {
     std::ostringstream text;
     text << "\nSettings:\n";
-    for (const EntryTextSetting &setting : entryTextSettings()) {
+    for (const TextSetting &setting : entryTextSettings()) {
         text << "  " << setting.name << (setting.required ? " (required): " : ": ") << setting.description << '\n';
     }
-    for (const EntryNumberSetting &setting : entryNumberSettings()) {
-        text << "  " << setting.name << " (" << setting.unit << ", default " << setting.defaultValue << ", " << setting.minimum << " to " << setting.maximum
-             << "): " << setting.description << '\n';
-    }
+    text << helpText(entryNumberSettings());
     return text.str();
 }
 
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -1,10 +1,5 @@
 #include "entry/entrysettings.h"
 
-#include "base/jsonreader.h"
-
-#include <arpa/inet.h>
-
-#include <charconv>
 #include <map>
 
 namespace Lentillock
@@ -13,59 +8,21 @@
 namespace
 {
 
-constexpr std::string_view HttpScheme = "http://";
-
-bool isAddress(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
-    }
-    in_addr parsed{};
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-    return error == std::errc() && stop == end && inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &parsed) == 1;
-}
-
-std::string addressSetting(JsonReader &reader, std::string_view name)
-{
-    std::string address = reader.requiredString(name);
-    if (!address.empty() && !isAddress(address)) {
-        reader.addError(name, "must be an address of the form IP:PORT");
-    }
-    return address;
-}
-
-std::string nameSetting(JsonReader &reader, std::string_view name)
+std::vector<std::string> controlsSetting(SettingsReader &reader)
 {
-    std::string value = reader.requiredString(name);
-    if (value.empty() || value.find('/') != std::string::npos) {
-        reader.addError(name, "must not be empty or contain a slash");
-    }
-    return value;
-}
-
-std::vector<std::string> controlsSetting(JsonReader &reader)
-{
-    std::vector<std::string> controls = reader.strings("controls");
+    std::vector<std::string> controls = reader.addresses("controls");
     if (controls.empty()) {
         reader.addError("controls", "must name at least the own VM's control process");
     }
-    for (std::size_t index = 0; index < controls.size(); ++index) {
-        if (!isAddress(controls[index])) {
-            reader.findings().addError(reader.source(), reader.pointerTo("controls") + '/' + std::to_string(index), "must be an address of the form IP:PORT");
-        }
-    }
     return controls;
 }
 
 }
 
-const std::vector<EntryNumberSetting> &entryNumberSettings()
+const std::vector<NumberSetting> &entryNumberSettings()
 {
     constexpr std::int64_t mebibyte = 1024LL * 1024;
-    static const std::vector<EntryNumberSetting> Settings{
+    static const std::vector<NumberSetting> Settings{
         {"threads", "threads", 1, 1, 64, "threads that read callers' requests"},
         {"maxConnections", "connections", 4096, 1, 100000, "callers' connections; further ones are closed"},
         {"maxHeadBytes", "bytes", 16384, 1024, mebibyte, "request line and headers of a request"},
@@ -84,9 +41,9 @@
     return Settings;
 }
 
-const std::vector<EntryTextSetting> &entryTextSettings()
+const std::vector<TextSetting> &entryTextSettings()
 {
-    static const std::vector<EntryTextSetting> Settings{
+    static const std::vector<TextSetting> Settings{
         {"vm", true, "identifier of this VM; no slash"},
         {"zone", true, "availability zone of this VM; no slash"},
         {"callers", true, "address of the callers' HTTP server, IP:PORT"},
@@ -105,22 +62,16 @@
         return std::nullopt;
     }
     Findings problems;
-    JsonReader reader(*value, source, "", problems);
+    SettingsReader reader(*value, source, problems);
     EntrySettings settings;
-    settings.vm = VmId(nameSetting(reader, "vm"));
-    settings.zone = ZoneId(nameSetting(reader, "zone"));
-    settings.callers.address = addressSetting(reader, "callers");
-    settings.operators = addressSetting(reader, "operators");
-    settings.grpc = addressSetting(reader, "grpc");
+    settings.vm = VmId(reader.identifier("vm"));
+    settings.zone = ZoneId(reader.identifier("zone"));
+    settings.callers.address = reader.address("callers");
+    settings.operators = reader.address("operators");
+    settings.grpc = reader.address("grpc");
     settings.controls = controlsSetting(reader);
-    settings.vmList = reader.string("vmList", "");
-    if (!settings.vmList.empty() && !settings.vmList.starts_with(HttpScheme)) {
-        reader.addError("vmList", "must be a URL that starts with http://");
-    }
-    std::map<std::string_view, std::int64_t> numbers;
-    for (const EntryNumberSetting &setting : entryNumberSettings()) {
-        numbers[setting.name] = reader.integer(setting.name, setting.defaultValue, setting.minimum, setting.maximum);
-    }
+    settings.vmList = reader.url("vmList");
+    auto numbers = reader.numbers(entryNumberSettings());
     const auto size = [&](std::string_view name) { return static_cast<std::size_t>(numbers[name]); };
     const auto time = [&](std::string_view name) { return milliseconds(numbers[name]); };
     settings.callers.threads = size("threads");
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "base/identifier.h"
+#include "base/settingsreader.h"
 #include "base/time.h"
 #include "entry/callerserver.h"
 #include "entry/httpsession.h"
@@ -29,25 +30,8 @@
     milliseconds drainDelay{0};
 };
 
-/// A setting with a number, for the reader and for the help text.
-struct EntryNumberSetting {
-    const char *name;
-    const char *unit;
-    std::int64_t defaultValue;
-    std::int64_t minimum;
-    std::int64_t maximum;
-    const char *description;
-};
-
-/// A setting with a text or a list of texts.
-struct EntryTextSetting {
-    const char *name;
-    bool required;
-    const char *description;
-};
-
-const std::vector<EntryNumberSetting> &entryNumberSettings();
-const std::vector<EntryTextSetting> &entryTextSettings();
+const std::vector<NumberSetting> &entryNumberSettings();
+const std::vector<TextSetting> &entryTextSettings();
 
 /// Reads JSON settings; returns nothing and adds findings if they are not valid.
 std::optional<EntrySettings> readEntrySettings(std::string_view text, const std::string &source, Findings &findings);
--- a/tests/entry/entryprogramtest.cpp
+++ b/tests/entry/entryprogramtest.cpp
@@ -200,11 +200,11 @@
         EXPECT_THAT(page.str(), HasSubstr(std::string("`") + option));
         EXPECT_THAT(EntryCommand::helpText(), HasSubstr(option));
     }
-    for (const EntryTextSetting &setting : entryTextSettings()) {
+    for (const TextSetting &setting : entryTextSettings()) {
         EXPECT_THAT(page.str(), HasSubstr(std::string("| `") + setting.name + "` | " + (setting.required ? "yes" : "no") + " | " + setting.description + " |"));
         EXPECT_THAT(EntryCommand::helpText(), HasSubstr(std::string("  ") + setting.name + (setting.required ? " (required): " : ": ") + setting.description));
     }
-    for (const EntryNumberSetting &setting : entryNumberSettings()) {
+    for (const NumberSetting &setting : entryNumberSettings()) {
         std::ostringstream row;
         row << "| `" << setting.name << "` | " << setting.unit << " | " << setting.defaultValue << " | " << setting.minimum << " to " << setting.maximum
             << " | " << setting.description << " |";
