--- a/tests/control/controlprocesstest.cpp
+++ b/tests/control/controlprocesstest.cpp
@@ -141,7 +141,7 @@
 TEST_F(ControlProcessTest, AnswersOfTheLogAreLost_ClaimIsStillWonOnce)
 {
     ASSERT_TRUE(waitForMembers());
-    injectFault(R"({"kind":"loseAnswers","service":"log","count":2})");
+    injectFault(R"({"fault":"loseAnswers","service":"log","count":2})");
     EXPECT_EQ(claim(*firstStub_, "a").verdict(), rpc::CLAIM_VERDICT_WON);
     EXPECT_EQ(claim(*secondStub_, "b").verdict(), rpc::CLAIM_VERDICT_LOST);
 }
@@ -150,11 +150,11 @@
 TEST_F(ControlProcessTest, LogIsDown_ClaimIsUndecidedWithinItsTime)
 {
     ASSERT_TRUE(waitForMembers());
-    injectFault(R"({"kind":"outage","service":"log"})");
+    injectFault(R"({"fault":"outage","service":"log"})");
     const auto started = std::chrono::steady_clock::now();
     EXPECT_EQ(claim(*firstStub_, "a", 900).verdict(), rpc::CLAIM_VERDICT_UNDECIDED);
     EXPECT_LT(std::chrono::steady_clock::now() - started, 1500ms);
-    injectFault(R"({"kind":"none"})");
+    injectFault(R"({"fault":"none"})");
 }
 
 // Guards against keys that cannot be dated, which the fold could never forget safely.
--- a/tests/integration/wholepathtest.cpp
+++ b/tests/integration/wholepathtest.cpp
@@ -182,7 +182,7 @@
 // Guards against a false "was not run" and against a run without a claim while the log is down.
 TEST_F(TwoVmsTest, PlatformOutage_NonIdempotentRequestFailsAsNotRun_OthersAreServed)
 {
-    TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","kind":"outage"})");
+    TestFleet::fault(fleet_.platformUrl(), R"({"fault":"outage","service":"log"})");
     EXPECT_EQ(fleet_.complete(0, testPrompt(1000, "idempotent"), AnswerTokens).status, 200);
     const std::size_t before = requestsOf(fleet_, "e1") + requestsOf(fleet_, "e2");
     const HttpAnswer issuance = fleet_.complete(0,
@@ -200,7 +200,7 @@
 {
     const std::uint64_t version = fleet_.publishLimit(1000);
     ASSERT_TRUE(TestFleet::waitFor([&] { return fleet_.configVersion(0) >= version && fleet_.configVersion(1) >= version; }, 2s));
-    TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","kind":"outage"})");
+    TestFleet::fault(fleet_.platformUrl(), R"({"fault":"outage","service":"log"})");
     fleet_.vm(0).control->kill();
     fleet_.startControl(0);
     fleet_.vm(0).entry->kill();
--- a/tests/platform/platformadapterstest.cpp
+++ b/tests/platform/platformadapterstest.cpp
@@ -124,17 +124,17 @@
 // Guards against reporting a lost answer as "had no effect": the writer would append again and its operation would run twice.
 TEST_F(PlatformAdaptersTest, LostAnswer_IsReportedAsUnknown_AndRecordIsThereOnce)
 {
-    injectFault(R"({"kind":"loseAnswers","service":"log"})");
+    injectFault(R"({"fault":"loseAnswers","service":"log"})");
     EXPECT_EQ(appendError(ShortTimeout), LogError::OutcomeUnknown);
     EXPECT_EQ(readAll(1), std::vector<std::string>{"x"});
 }
 
 TEST_F(PlatformAdaptersTest, Outage_IsReportedAsUnavailable_AndEnds)
 {
-    injectFault(R"({"kind":"outage","service":"log"})");
+    injectFault(R"({"fault":"outage","service":"log"})");
     EXPECT_EQ(appendError(), LogError::Unavailable);
     EXPECT_EQ(errorOf<LogError>([&] { return log_.read("s", 1, 10, 0ms, Timeout); }), LogError::Unavailable);
-    injectFault(R"({"kind":"none"})");
+    injectFault(R"({"fault":"none"})");
     EXPECT_EQ(appendError(), std::nullopt);
     EXPECT_EQ(readAll(1), std::vector<std::string>{"x"});
 }
@@ -143,17 +143,17 @@
 TEST_F(PlatformAdaptersTest, FrozenService_TimesOut_AndNextCallSucceeds)
 {
     EXPECT_EQ(readAll(1).size(), 0U);
-    injectFault(R"({"kind":"freeze","service":"log","durationMs":60000})");
+    injectFault(R"({"fault":"freeze","service":"log","durationMs":60000})");
     const TimePoint start = std::chrono::steady_clock::now();
     EXPECT_EQ(errorOf<LogError>([&] { return log_.read("s", 1, 10, 0ms, ShortTimeout); }), LogError::Unavailable);
     EXPECT_LT(std::chrono::steady_clock::now() - start, 30s);
-    injectFault(R"({"kind":"none"})");
+    injectFault(R"({"fault":"none"})");
     EXPECT_EQ(readAll(1).size(), 0U);
 }
 
 TEST_F(PlatformAdaptersTest, SlowService_AnswersLate)
 {
-    injectFault(R"({"kind":"slow","service":"log","delayMs":100})");
+    injectFault(R"({"fault":"slow","service":"log","delayMs":100})");
     const TimePoint start = std::chrono::steady_clock::now();
     EXPECT_EQ(appendError(), std::nullopt);
     EXPECT_GE(std::chrono::steady_clock::now() - start, 100ms);
--- a/tests/standins/platform/faults.cpp
+++ b/tests/standins/platform/faults.cpp
@@ -28,13 +28,13 @@
         return findings.toText();
     }
     JsonReader reader(*value, "fault", "", findings);
-    const std::string kind = reader.requiredString("kind");
+    const std::string fault = reader.requiredString("fault");
     const std::string service = reader.string("service", {});
     const TimePoint until = now + milliseconds(reader.integer("durationMs", UnlimitedMs, 0, UnlimitedMs));
     const milliseconds delay(reader.integer("delayMs", 0, 0, UnlimitedMs));
     const std::int64_t count = reader.integer("count", 1, 0, MaxCount);
     reader.finish();
-    const std::map<std::string, std::function<void(State &)>> kinds{
+    const std::map<std::string, std::function<void(State &)>> actions{
         {"outage", [&](State &state) { state.outageUntil = until; }},
         {"loseAnswers", [&](State &state) { state.answersToLose = count; }},
         {"freeze", [&](State &state) { state.frozenUntil = until; }},
@@ -42,9 +42,9 @@
         {"die", [&](State &) { std::_Exit(1); }},
         {"none", [&](State &state) { state = {}; }},
     };
-    const auto action = kinds.find(kind);
-    if (action == kinds.end()) {
-        reader.addError("kind", "is not a known fault");
+    const auto action = actions.find(fault);
+    if (action == actions.end()) {
+        reader.addError("fault", "is not a known fault");
     }
     if (!service.empty() && !services_.contains(service)) {
         reader.addError("service", "is not a known service");
