Standins: Accept an order that changes only the role of an engine

The engine's stand-in refused an order without a model, so a control process could not change the role alone. An empty model with a version is refused with 400.

--- a/tests/routing/enginemodeltest.cpp
+++ b/tests/routing/enginemodeltest.cpp
@@ -93,5 +93,16 @@
     EXPECT_EQ(other.order(start_, {8, "0", "m", "1", "", false}), EngineOrderResult::WrongGeneration);
 }
 
+// Guards against a role-only order that unloads the model.
+TEST_F(EngineModelTest, Order_EmptyModelAndVersion_KeepsWhatIsLoaded)
+{
+    EXPECT_EQ(engine_.order(start_, {7, "1", "m", "2", "decode", false}), EngineOrderResult::Done);
+    EXPECT_EQ(engine_.order(start_, {8, "1", "", "", "prefill", false}), EngineOrderResult::Done);
+    EXPECT_EQ(engine_.lastOrder().model, "m");
+    EXPECT_EQ(engine_.lastOrder().version, "2");
+    EXPECT_EQ(engine_.lastOrder().role, "prefill");
+    EXPECT_EQ(engine_.lastOrder().fencing, 8U);
+}
+
 }
 }
--- a/tests/standins/engine/enginemodel.cpp
+++ b/tests/standins/engine/enginemodel.cpp
@@ -146,7 +146,11 @@
     if (order.ifIdle && (!queue_.empty() || !batch_.empty() || !allocations_.empty())) {
         return EngineOrderResult::Busy;
     }
-    lastOrder_ = order;
+    const EngineOrder previous = std::exchange(lastOrder_, order);
+    if (order.model.empty() && order.version.empty()) {
+        lastOrder_.model = previous.model;
+        lastOrder_.version = previous.version;
+    }
     return EngineOrderResult::Done;
 }
 
--- a/tests/standins/engine/engineserver.cpp
+++ b/tests/standins/engine/engineserver.cpp
@@ -319,17 +319,19 @@
     EngineOrder order;
     order.fencing = static_cast<std::uint64_t>(reader->integer("fencing", 0, 0, MaxInteger));
     order.generation = reader->string("generation", "");
-    order.model = reader->requiredString("model");
+    order.model = reader->string("model", "");
     order.version = reader->string("version", "");
     order.role = reader->string("role", "");
     order.ifIdle = reader->boolean("ifIdle", false);
-    if (reader.failed()) {
+    if (reader.failed() || (order.model.empty() && !order.version.empty())) {
         refuse(answer, 400, "malformed order", WasNotRun);
         return;
     }
     switch (model_.order(modelTime(), order)) {
     case EngineOrderResult::Done:
-        models_ = {order.model};
+        if (!order.model.empty()) {
+            models_ = {order.model};
+        }
         answer->send(200, "{}");
         break;
     case EngineOrderResult::StaleFencing:
