--- a/src/control/peerclient.cpp
+++ b/src/control/peerclient.cpp
@@ -22,6 +22,9 @@
 constexpr int KeepaliveMs = 10000;
 constexpr int KeepaliveTimeoutMs = 2000;
 
+// A configuration of 45,000 workspaces has 14 MB; gRPC's default limit is 4 MB.
+constexpr int MaxMessageBytes = 64 * 1024 * 1024;
+
 grpc::ChannelArguments channelArguments()
 {
     grpc::ChannelArguments arguments;
@@ -30,6 +33,7 @@
     // Without a pool of its own a new channel would reuse the connection of the one that failed.
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
     return arguments;
 }
 
--- a/tests/integration/sevenvmstest.cpp
+++ b/tests/integration/sevenvmstest.cpp
@@ -85,7 +85,7 @@
     for (int round = 0; round < 6; ++round) {
         const std::string key = newIdempotencyKey();
         const std::string prompt = testPrompt(1000, "round " + std::to_string(round));
-        TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","kind":"loseAnswers","count":2})");
+        TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","fault":"loseAnswers","count":2})");
         std::thread killer([this, round] {
             std::this_thread::sleep_for(20ms);
             if (round % 2 == 1) {
@@ -169,7 +169,7 @@
         }
     }
     ASSERT_TRUE(TestFleet::waitFor([&] { return fleet_.isInForceEverywhere(version); }, InForceLimit));
-    TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","kind":"outage"})");
+    TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","fault":"outage"})");
     for (std::size_t vm = 0; vm < fleet_.vmCount(); ++vm) {
         fleet_.vm(vm).entry->kill();
         fleet_.vm(vm).control->kill();
@@ -179,7 +179,7 @@
         EXPECT_GE(fleet_.configVersion(vm), version) << "VM " << vm;
     }
     EXPECT_EQ(fleet_.complete(6, testPrompt(1000, "after"), AnswerTokens).status, 200);
-    TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","kind":"none"})");
+    TestFleet::fault(fleet_.platformUrl(), R"({"service":"log","fault":"none"})");
     const std::uint64_t later = fleet_.publish("priorities", TestFleet::prioritiesSection(5));
     EXPECT_TRUE(TestFleet::waitFor([&] { return fleet_.isInForceEverywhere(later); }, 5s));
 }
