--- a/src/rpc/callbackthreads.cpp
+++ b/src/rpc/callbackthreads.cpp
@@ -34,7 +34,7 @@
 void keepCallbackThreads()
 {
     // Never destroyed: callbacks may still run while static objects are being destroyed.
-    static const auto *const stub = new std::unique_ptr<rpc::Control::Stub>(newStubWithCallbackThreads());
+    static auto *stub = new std::unique_ptr<rpc::Control::Stub>(newStubWithCallbackThreads());
     static_cast<void>(stub);
 }
 
--- a/tests/integration/sevenvmstest.cpp
+++ b/tests/integration/sevenvmstest.cpp
@@ -43,10 +43,12 @@
     {
         const std::vector<std::string> headers{"Idempotency-Key: " + key, "Lentillock-Idempotent: false", "Lentillock-Timeout-Ms: 8000"};
         std::vector<std::future<HttpAnswer>> sent;
+        sent.reserve(fleet_.vmCount());
         for (std::size_t vm = 0; vm < fleet_.vmCount(); ++vm) {
             sent.push_back(std::async(std::launch::async, [this, vm, &prompt, headers] { return fleet_.complete(vm, prompt, AnswerTokens, headers); }));
         }
         std::vector<HttpAnswer> answers;
+        answers.reserve(sent.size());
         for (std::future<HttpAnswer> &answer : sent) {
             answers.push_back(answer.get());
         }
--- a/tests/integration/testfleet.cpp
+++ b/tests/integration/testfleet.cpp
@@ -286,7 +286,7 @@
 
 std::string TestFleet::writeSettings(const std::string &name, const std::string &text) const
 {
-    const std::string path = directory_ + '/' + name + ".json";
+    std::string path = directory_ + '/' + name + ".json";
     std::ofstream(path) << text;
     return path;
 }
