Control: Poll endpoints once a second

Cause: two polls a second of 17 endpoints cost about 7.3 KB/s, over the control budget of 7 KB/s for everything. Change: the default of pollIntervalMs is 1,000 ms instead of 500 ms. A dead endpoint that no entry uses is noticed after 3 s instead of 1.5 s; entries report endpoints that refuse connections themselves.

--- a/cmake/LentillockComponent.cmake
+++ b/cmake/LentillockComponent.cmake
@@ -13,13 +13,14 @@
 endfunction()
 
 # Adds a test program from all *test.cpp files of the current directory and registers its tests with ctest.
-# lentillock_test(NAME [LIBRARIES lib...])
+# Tests with the same LOCK do not run at the same time.
+# lentillock_test(NAME [LOCK lock] [LIBRARIES lib...])
 function(lentillock_test name)
-    cmake_parse_arguments(arg "" "" "LIBRARIES" ${ARGN})
+    cmake_parse_arguments(arg "" "LOCK" "LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     add_executable(test-${name} ${sources})
     target_compile_options(test-${name} PRIVATE -Wall -Wextra -Werror)
     target_include_directories(test-${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     target_link_libraries(test-${name} PRIVATE ${arg_LIBRARIES} GTest::gtest_main GTest::gmock ${RAPIDCHECK_LIBRARY})
-    gtest_discover_tests(test-${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" DISCOVERY_TIMEOUT 30)
+    gtest_discover_tests(test-${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" RESOURCE_LOCK "${arg_LOCK}" DISCOVERY_TIMEOUT 30)
 endfunction()
--- a/src/control/controlsettings.cpp
+++ b/src/control/controlsettings.cpp
@@ -6,7 +6,7 @@
 const std::vector<NumberSetting> &controlNumberSettings()
 {
     static const std::vector<NumberSetting> Settings{
-        {"pollIntervalMs", "ms", 500, 50, 10000, "time between two polls of an endpoint"},
+        {"pollIntervalMs", "ms", 1000, 50, 10000, "time between two polls of an endpoint"},
         {"pollTimeoutMs", "ms", 1000, 50, 10000, "time after which a poll counts as missed"},
         {"vmListIntervalMs", "ms", 1000, 100, 60000, "time between two reads of the VM list"},
         {"claimShards", "shards", 16, 1, 100, "number of claim streams; must be equal on all VMs and never change while keys are remembered"},
