--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -26,7 +26,7 @@
 // Longest part of an endpoint's error text that is passed on.
 constexpr std::size_t MaxErrorTextBytes = 512;
 
-// The dispatcher ends attempts at their deadline; this only guards against a transfer that it has lost track of.
+// The dispatcher ends attempts at their deadline; this only guards against a transfer that it no longer knows of.
 constexpr milliseconds TransferGrace{10000};
 
 constexpr milliseconds IdlePoll{1000};
--- a/src/routing/expectedfirsttokenpolicy.h
+++ b/src/routing/expectedfirsttokenpolicy.h
@@ -17,7 +17,7 @@
 
 /// Routes by expected time to first token, weighted by the objectives, and keeps short work apart from long work.
 ///
-/// The work that all entries send until they see each other's choices is spread in thought over the endpoints, the cheapest first, up
+/// The work that all entries send until they see each other's choices is distributed notionally over the endpoints, the cheapest first, up
 /// to a common cost level. Each request goes to an endpoint at random, in proportion to the endpoint's part of that work. Many entries
 /// with the same stale view therefore do not pick the same endpoint.
 class ExpectedFirstTokenPolicy : public RoutingPolicy
--- a/tests/integration/wholepathtest.cpp
+++ b/tests/integration/wholepathtest.cpp
@@ -136,7 +136,7 @@
     EXPECT_EQ(answerText(whole), expectedText(prompt, longAnswerTokens));
 }
 
-// Guards against waiting on a connection that something between the two ends has lost track of.
+// Guards against waiting on a connection whose state a middlebox has dropped.
 TEST_F(TwoVmsTest, ConnectionToEngine_GoesSilent_AnswerIsResumedOnNewConnection)
 {
     const std::string prompt = testPrompt(2000, "silent");
--- a/tests/routing/workspacelimitstest.cpp
+++ b/tests/routing/workspacelimitstest.cpp
@@ -94,7 +94,7 @@
     std::vector<std::unique_ptr<WorkspaceLimits>> limits_;
 };
 
-// Guards against a limit that multiplies with the number of sides when VMs lose sight of each other.
+// Guards against a limit that multiplies with the number of sides when VMs cannot reach each other.
 RC_GTEST_PROP(WorkspaceLimitsTest, AnyPartition_AnyDemand_StaysBelowStatedExcess, ())
 {
     const auto vms = *rc::gen::inRange<std::size_t>(1, 13);
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -37,7 +37,7 @@
     Silence,
     Drain,
     Fill,
-    Forget, ///< The engine drops all its requests without a word.
+    Forget, ///< The engine drops all its requests without an answer.
     LoseChunk,
     RepeatChunks,
     SwapChunks,
