Placement: Keep endpoints free for short prompts and price the reading of long ones

Cause: one prompt of 300,000 tokens and more was read by every endpoint, those with invoices included; its neighbours missed their objective. Reading that waits was underestimated: each VM aged its own prompts as if the endpoint read them all at once.

--- a/src/gateway/fleetload.cpp
+++ b/src/gateway/fleetload.cpp
@@ -13,6 +13,9 @@
 /// A VM reports at least four times in this time; after it, its work is taken to have ended with it.
 constexpr Duration PeerReportLifetime = 1s;
 
+/// Part of the reading that is taken to remain for as long as no first event has come.
+constexpr double UnreadFloor = 0.1;
+
 double elapsedMs(TimePoint since, TimePoint now)
 {
     return std::chrono::duration<double, std::milli>(now - since).count();
@@ -29,12 +32,23 @@
 {
     requests += other.requests;
     shortWriters += other.shortWriters;
-    readMs += other.readMs;
-    longReadMs += other.longReadMs;
+    unreadMs += other.unreadMs;
+    longUnreadMs += other.longUnreadMs;
+    oldestUnreadAgeMs = std::max(oldestUnreadAgeMs, other.oldestUnreadAgeMs);
     memoryTokens += other.memoryTokens;
     return *this;
 }
 
+double EndpointLoad::remainingReadMs() const
+{
+    return std::max(UnreadFloor * unreadMs, unreadMs - oldestUnreadAgeMs);
+}
+
+double EndpointLoad::remainingLongReadMs() const
+{
+    return unreadMs > 0 ? remainingReadMs() * longUnreadMs / unreadMs : 0;
+}
+
 FleetLoad::Ticket FleetLoad::begin(const EndpointId &endpoint, const WorkItem &item, TimePoint now)
 {
     const Ticket ticket = nextTicket_++;
@@ -90,23 +104,17 @@
     if (tickets == ticketsByEndpoint_.end()) {
         return load;
     }
-    // Prompts are read one after the other, in the order in which they were sent.
-    double shortReadMs = 0;
-    TimePoint previousEnd{};
     for (const Ticket ticket : tickets->second) {
         const Item &item = items_.at(ticket);
         load.requests += 1;
         load.shortWriters += item.work.isLong ? 0 : 1;
         load.memoryTokens += item.work.memoryTokens;
-        if (!item.isReading) {
-            continue;
+        if (item.isReading) {
+            load.unreadMs += item.work.readMs;
+            load.longUnreadMs += item.work.isLong ? item.work.readMs : 0;
+            load.oldestUnreadAgeMs = std::max(load.oldestUnreadAgeMs, elapsedMs(item.startedAt, now));
         }
-        const TimePoint start = std::max(previousEnd, item.startedAt);
-        previousEnd = start + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(item.work.readMs));
-        const double remaining = std::clamp(elapsedMs(now, previousEnd), 0.0, item.work.readMs);
-        (item.work.isLong ? load.longReadMs : shortReadMs) += remaining;
     }
-    load.readMs = load.longReadMs + shortReadMs;
     return load;
 }
 
@@ -120,9 +128,7 @@
             continue;
         }
         EndpointLoad load = found->second;
-        const double age = elapsedMs(report.receivedAt, now);
-        load.readMs = std::max(0.0, load.readMs - age);
-        load.longReadMs = std::max(0.0, load.longReadMs - age);
+        load.oldestUnreadAgeMs += load.unreadMs > 0 ? elapsedMs(report.receivedAt, now) : 0;
         total += load;
     }
     return total;
--- a/src/gateway/fleetload.h
+++ b/src/gateway/fleetload.h
@@ -15,12 +15,17 @@
 struct EndpointLoad {
     double requests = 0; ///< Sent and not finished.
     double shortWriters = 0; ///< Requests that suffer when the endpoint reads a long prompt.
-    double readMs = 0; ///< Reading that is still to be done, at the pace of the published figures.
-    double longReadMs = 0; ///< The part of readMs that belongs to long prompts.
+    double unreadMs = 0; ///< Reading of all prompts whose first event has not come yet, at the pace of the published figures.
+    double longUnreadMs = 0; ///< The part of unreadMs that belongs to long prompts.
+    double oldestUnreadAgeMs = 0; ///< Time since the first of these prompts was sent.
     double memoryTokens = 0;
 
     auto operator<=>(const EndpointLoad &) const = default;
     EndpointLoad &operator+=(const EndpointLoad &other);
+
+    /// Reading that is still to be done. The endpoint reads one prompt after the other, whichever VM sent it.
+    [[nodiscard]] double remainingReadMs() const;
+    [[nodiscard]] double remainingLongReadMs() const;
 };
 
 /// The load that one VM reports for one endpoint.
--- a/src/gateway/loadreportcodec.cpp
+++ b/src/gateway/loadreportcodec.cpp
@@ -27,8 +27,9 @@
     boost::endian::little_uint32_buf_t endpointHash;
     boost::endian::little_uint8_buf_t requests;
     boost::endian::little_uint8_buf_t shortWriters;
-    boost::endian::little_uint16_buf_t readMs;
-    boost::endian::little_uint16_buf_t longReadMs;
+    boost::endian::little_uint16_buf_t unreadMs;
+    boost::endian::little_uint16_buf_t longUnreadMs;
+    boost::endian::little_uint16_buf_t oldestUnreadAgeMs;
     boost::endian::little_uint16_buf_t memoryKiloTokens;
 };
 
@@ -64,8 +65,9 @@
         entry.endpointHash = message.loads[index].endpointHash;
         entry.requests = saturated<std::uint8_t>(load.requests);
         entry.shortWriters = saturated<std::uint8_t>(load.shortWriters);
-        entry.readMs = saturated<std::uint16_t>(load.readMs);
-        entry.longReadMs = saturated<std::uint16_t>(load.longReadMs);
+        entry.unreadMs = saturated<std::uint16_t>(load.unreadMs);
+        entry.longUnreadMs = saturated<std::uint16_t>(load.longUnreadMs);
+        entry.oldestUnreadAgeMs = saturated<std::uint16_t>(load.oldestUnreadAgeMs);
         entry.memoryKiloTokens = saturated<std::uint16_t>(load.memoryTokens / 1000);
         appendBytes(bytes, entry);
     }
@@ -91,8 +93,9 @@
         EndpointLoad load;
         load.requests = entry.requests.value();
         load.shortWriters = entry.shortWriters.value();
-        load.readMs = entry.readMs.value();
-        load.longReadMs = entry.longReadMs.value();
+        load.unreadMs = entry.unreadMs.value();
+        load.longUnreadMs = entry.longUnreadMs.value();
+        load.oldestUnreadAgeMs = entry.oldestUnreadAgeMs.value();
         load.memoryTokens = entry.memoryKiloTokens.value() * 1000.0;
         message.loads.push_back({entry.endpointHash.value(), load});
     }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -29,7 +29,7 @@
 constexpr double UnitWorthTokens = 5000;
 constexpr double WorthExponent = 0.8;
 
-/// Makes all VMs fill the endpoints in the same order, short work from one end and long work from the other.
+/// Makes all VMs fill the endpoints in the same order.
 constexpr double OrderCost = 0.004;
 
 /// Slope that prefers an earlier first event among places that all meet the objective.
@@ -41,6 +41,32 @@
 /// Part of the free memory that a prompt may take without reservations elsewhere.
 constexpr double FreeMemoryPart = 0.9;
 
+/// Part of an engine's places that short requests fill before another endpoint is kept free for them.
+constexpr double ShortFill = 0.7;
+
+/// Short requests that may arrive before the next load report.
+constexpr double ShortReserve = 3;
+
+/// Part of the endpoints that remains for long prompts, however many short requests there are.
+constexpr double LongMinimumPart = 0.2;
+
+/// Cost of putting a short request on an endpoint that reads long prompts.
+constexpr double SpillCost = 0.2;
+
+/// Reading that requests beside it do not notice, and the reading beyond it that makes all of them late, in one pass.
+constexpr double HarmlessReadMs = 100;
+constexpr double HarmfulReadMs = 100;
+
+/// Pause objective below which the reading of long prompts beside it makes a stream late.
+constexpr double TightPauseMs = 800;
+
+/// Price of reading, in worth for each second of an endpoint, for each second of reading that waits at the endpoints for long prompts.
+/// A typical long prompt is worth five times its reading; this lets it wait for its objective and turns away larger ones earlier.
+constexpr double ReadingPrice = 3;
+
+/// Part of the worth that is lost when the first event comes after the objective.
+constexpr double LateLoss = 0.75;
+
 constexpr std::array<std::size_t, 11> ReaderCounts{1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17};
 
 /// Share of the worth that is lost when the first event is expected after @p expectedMs: 0 inside the planned part, 1 well after the objective.
@@ -50,9 +76,9 @@
 }
 
 /// Short requests at an endpoint that lose their objective when it reads for @p partMs in one pass.
-double harm(double partMs, double shortWriters, double pauseMs)
+double harm(double partMs, double shortWriters)
 {
-    return shortWriters * std::clamp(partMs / std::max(pauseMs, 1.0), 0.0, 1.0);
+    return shortWriters * std::clamp((partMs - HarmlessReadMs) / HarmfulReadMs, 0.0, 1.0);
 }
 
 double placeCost(const PlacementCandidate &candidate)
@@ -60,9 +86,22 @@
     return (candidate.isSuspended ? ForbiddenCost : 0) + candidate.failureShare * 2;
 }
 
+/// Endpoints, from the front of the common order, that are kept for short requests.
+std::size_t shortSetSize(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates)
+{
+    double writers = ShortReserve;
+    for (const PlacementCandidate &candidate : candidates) {
+        writers += candidate.load.shortWriters;
+    }
+    const auto wanted = static_cast<std::size_t>(std::ceil(writers / (ShortFill * engine.slots)));
+    const auto most = static_cast<std::size_t>((1 - LongMinimumPart) * static_cast<double>(candidates.size()));
+    return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(most, 1));
+}
+
 Placement placeShort(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
 {
     const double readMs = engine.readMs(request.promptTokens);
+    const std::size_t shortSet = shortSetSize(engine, candidates);
     Placement best;
     double bestCost = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -70,8 +109,8 @@
         const EndpointLoad &load = candidate.load;
         const double memory = load.memoryTokens + request.promptTokens + request.answerTokens;
         const double passMs = engine.passMs(load.requests + 1, memory) * candidate.pace;
-        const double firstEventMs = (load.readMs + readMs) * candidate.pace + 1.5 * passMs;
-        double cost = placeCost(candidate) + OrderCost * static_cast<double>(index);
+        const double firstEventMs = (load.remainingReadMs() + readMs) * candidate.pace + 1.5 * passMs;
+        double cost = placeCost(candidate) + OrderCost * static_cast<double>(index) + (index < shortSet ? 0 : SpillCost);
         cost += lateness(firstEventMs, request.objectiveMs) + EarlinessCost * firstEventMs / request.objectiveMs;
         cost += OverflowCost * std::max(0.0, load.requests + 1 - engine.slots) / engine.slots;
         cost += load.requests + 1 > engine.slots ? OverflowCost : 0;
@@ -111,55 +150,89 @@
     return fits;
 }
 
-Placement placeLong(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
+/// A placement with its cost in lost worth.
+struct CostedPlacement {
+    Placement placement;
+    double cost = 0;
+};
+
+/// The best placement of a long prompt on the first of @p order, each endpoint reading an equal part.
+CostedPlacement placeLongOn(const EngineModel &engine,
+                            const std::vector<const PlacementCandidate *> &order,
+                            const PlacementRequest &request,
+                            double pauseRisk)
 {
     const double readMs = engine.readMs(request.promptTokens);
     const double worth = std::pow(request.promptTokens / UnitWorthTokens, WorthExponent);
-    std::vector<std::pair<double, const PlacementCandidate *>> order;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const PlacementCandidate &candidate = candidates[index];
-        const double useMs = candidate.load.readMs * candidate.pace + 1000 * placeCost(candidate) + 60 * candidate.load.shortWriters;
-        order.emplace_back(useMs - static_cast<double>(index) * 5, &candidate);
-    }
-    std::stable_sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
-
-    Placement best;
-    double bestCost = 0;
+    CostedPlacement best;
     for (const std::size_t count : ReaderCounts) {
         if (count > order.size()) {
             break;
         }
-        std::vector<const PlacementCandidate *> readers;
+        std::vector<const PlacementCandidate *> readers(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count));
+        const double partMs = readMs / static_cast<double>(count);
         double startMs = 0;
         double pace = 1;
-        double cost = HelperCost * static_cast<double>(count);
-        for (std::size_t index = 0; index < count; ++index) {
-            const PlacementCandidate *reader = order[index].second;
-            readers.push_back(reader);
-            startMs = std::max(startMs, reader->load.readMs * reader->pace);
+        double cost = HelperCost * static_cast<double>(count) + worth * pauseRisk;
+        for (const PlacementCandidate *reader : readers) {
+            startMs = std::max(startMs, reader->load.remainingReadMs() * reader->pace);
             pace = std::max(pace, reader->pace);
-            cost += placeCost(*reader);
+            cost += placeCost(*reader) + harm(partMs + reader->load.remainingLongReadMs(), reader->load.shortWriters);
         }
-        Placement placement{.readMs = readMs / static_cast<double>(count), .isLong = true};
-        placement.firstEventMs = startMs + placement.readMs * pace + engine.passMs(1, request.promptTokens) * pace;
+        Placement placement{.readMs = partMs, .isLong = true};
+        placement.firstEventMs = startMs + partMs * pace + engine.passMs(1, request.promptTokens) * pace;
         cost += distributeMemory(engine, readers, request, placement) ? 0 : ForbiddenCost / 2;
-        for (const PlacementCandidate *reader : readers) {
-            cost += harm(placement.readMs, reader->load.shortWriters, request.pauseMs / 3);
-        }
         cost += worth * (lateness(placement.firstEventMs, request.objectiveMs) + EarlinessCost * placement.firstEventMs / request.objectiveMs);
-        if (best.endpoint != nullptr && cost >= bestCost) {
+        if (best.placement.endpoint != nullptr && cost >= best.cost) {
             continue;
         }
-        bestCost = cost;
         placement.endpoint = readers.front()->endpoint;
         for (std::size_t index = 1; index < readers.size(); ++index) {
             placement.helpers.push_back(readers[index]->endpoint);
         }
-        best = std::move(placement);
+        best = {std::move(placement), cost};
     }
     return best;
 }
 
+Placement placeLong(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
+{
+    const std::size_t shortSet = shortSetSize(engine, candidates);
+    std::vector<const PlacementCandidate *> shortOrder;
+    std::vector<const PlacementCandidate *> longOrder;
+    double longReadMs = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        (index < shortSet ? shortOrder : longOrder).push_back(&candidates[index]);
+        longReadMs += index < shortSet ? 0 : candidates[index].load.remainingLongReadMs();
+    }
+    const auto byUse = [](const PlacementCandidate *left, const PlacementCandidate *right) {
+        const auto use = [](const PlacementCandidate *candidate) {
+            return candidate->load.remainingReadMs() * candidate->pace + ForbiddenCost * placeCost(*candidate) + candidate->load.shortWriters * 30;
+        };
+        return use(left) < use(right);
+    };
+    std::stable_sort(shortOrder.begin(), shortOrder.end(), byUse);
+    std::stable_sort(longOrder.begin(), longOrder.end(), byUse);
+    const double reading = longOrder.empty() ? 0 : std::min(1.0, longReadMs / (HarmfulReadMs * 4 * static_cast<double>(longOrder.size())));
+    const double pauseRisk = request.pauseMs < TightPauseMs ? reading / 2 : 0;
+    CostedPlacement onLong = placeLongOn(engine, longOrder, request, pauseRisk);
+    CostedPlacement onShort = placeLongOn(engine, shortOrder, request, 0);
+    const bool useLong = onShort.placement.endpoint == nullptr || (onLong.placement.endpoint != nullptr && onLong.cost <= onShort.cost);
+    Placement placement = useLong ? onLong.placement : onShort.placement;
+    if (placement.endpoint != nullptr && !longOrder.empty()) {
+        double waitingMs = 0;
+        for (const PlacementCandidate *candidate : longOrder) {
+            waitingMs += candidate->load.remainingReadMs() / static_cast<double>(longOrder.size());
+        }
+        const double worth = std::pow(request.promptTokens / UnitWorthTokens, WorthExponent);
+        const double gain = worth * (1 - LateLoss * std::min(1.0, lateness(placement.firstEventMs, request.objectiveMs)));
+        const double price = ReadingPrice * waitingMs / 1000 * engine.readMs(request.promptTokens) / 1000;
+        placement.isRefused = gain < price || placement.firstEventMs > request.timeLeftMs;
+        placement.retryAfterMs = waitingMs;
+    }
+    return placement;
+}
+
 }
 
 Placement placeCall(const std::vector<PlacementCandidate> &candidates, std::uint64_t seed)
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -26,6 +26,7 @@
     double answerTokens = 0;
     double objectiveMs = 0; ///< Time to the first event that earns full credit, from now.
     double pauseMs = 0; ///< Longest pause between events.
+    double timeLeftMs = 0; ///< Until the request is given up.
     std::uint64_t seed = 0; ///< Breaks ties.
 };
 
@@ -38,6 +39,8 @@
     double readMs = 0; ///< Reading at each endpoint that takes part.
     double firstEventMs = 0; ///< Expected time to the first event.
     bool isLong = false;
+    bool isRefused = false; ///< Serving the request would cost more than it is worth; it may come back after retryAfterMs.
+    double retryAfterMs = 0;
 };
 
 /// Places a call to a plain service: the endpoint with the fewest requests in progress, preferably in the same zone.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -29,10 +29,14 @@
 constexpr double CallSilencePart = 0.5;
 
 /// Silence of a stream, in multiples of its expected times, after which its endpoint is given up.
-constexpr double FirstEventSilenceFactor = 2;
-constexpr Duration FirstEventSilenceMinimum = 1500ms;
+constexpr double FirstEventSilenceFactor = 3;
+constexpr Duration FirstEventSilenceMinimum = 1200ms;
 constexpr int PauseSilenceFactor = 4;
 
+/// Short prompts are admitted to an engine before long ones.
+constexpr int ShortUrgency = 2;
+constexpr int LongUrgency = 6;
+
 /// Pause after which a caller that was refused may come back.
 constexpr milliseconds RefusalPause{300};
 
@@ -180,6 +184,7 @@
     }
     PlacementRequest placementRequest{.promptTokens = caller_.promptTokens, .answerTokens = caller_.answerTokens, .seed = seed};
     placementRequest.objectiveMs = std::max(1.0, toMs(route_->latencyObjective - (now - request_.receivedAt)));
+    placementRequest.timeLeftMs = toMs(deadline_ - now);
     placementRequest.pauseMs = toMs(route_->pauseObjective);
     return placeGeneration(*service_->engine, choices, placementRequest);
 }
@@ -199,6 +204,18 @@
         sendEnded(SendOutcome::NotConnected, false);
         return;
     }
+    if (placement.isRefused && !facts_.mayHaveRun && !facts_.answerStarted) {
+        context_.metrics.increment("lentillock_shed_total");
+        Log::write(Log::Level::Info,
+                   "shed",
+                   {{"request", caller_.id.value()},
+                    {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
+                    {"expectedMs", std::to_string(static_cast<int>(placement.firstEventMs))},
+                    {"waitingMs", std::to_string(static_cast<int>(placement.retryAfterMs))}});
+        const milliseconds pause = std::max(RefusalPause, milliseconds(static_cast<std::int64_t>(placement.retryAfterMs)));
+        refuse(503, "overloaded", "the endpoints have too much to read", std::min(pause, std::chrono::duration_cast<milliseconds>(deadline_ - now) / 3));
+        return;
+    }
     ++facts_.sends;
     send_ = std::make_unique<Send>();
     send_->endpoint = *placement.endpoint;
@@ -241,6 +258,9 @@
 {
     EndpointOrder order{.expectedEndpoint = send_->endpoint.id, .workspace = workspace_, .lastEventId = lastEventId_};
     order.timeLeft = std::chrono::duration_cast<milliseconds>(deadline_ - now);
+    if (send_->placement.readMs > 0) {
+        order.urgency = send_->placement.isLong ? LongUrgency : ShortUrgency;
+    }
     if (send_->reservations) {
         order.helpers = send_->reservations->helpers();
     } else {
@@ -453,7 +473,7 @@
         return std::max<Duration>(FirstEventSilenceMinimum, route_->pauseObjective * PauseSilenceFactor);
     }
     const auto expected = std::chrono::duration<double, std::milli>(FirstEventSilenceFactor * send_->placement.firstEventMs);
-    return std::max<Duration>(FirstEventSilenceMinimum, std::chrono::duration_cast<Duration>(expected));
+    return FirstEventSilenceMinimum + std::chrono::duration_cast<Duration>(expected);
 }
 
 void RequestExchange::armSilenceTimer(TimePoint now)
