Placement: Hold long prompts while readers are busy, and predict the demand of short ones

Cause: engines were handed more long reading than they could start, largest prompts included, so that a change from long to short prompts found all of them busy; the writers on an engine that reads a long part paused too long. Change: a long prompt waits at the gateway, smaller ones first; endpoints for short prompts follow the rate of arrivals; the harm to long writers counts.

--- a/src/gateway/fleetload.cpp
+++ b/src/gateway/fleetload.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Lentillock
 {
@@ -16,6 +17,9 @@
 /// Part of the reading that is taken to remain for as long as no first event has come.
 constexpr double UnreadFloor = 0.1;
 
+/// Time over which the arrivals of short requests are averaged.
+constexpr double DemandWindowMs = 700;
+
 double elapsedMs(TimePoint since, TimePoint now)
 {
     return std::chrono::duration<double, std::milli>(now - since).count();
@@ -32,6 +36,7 @@
 {
     requests += other.requests;
     shortWriters += other.shortWriters;
+    longWriters += other.longWriters;
     unreadMs += other.unreadMs;
     longUnreadMs += other.longUnreadMs;
     oldestUnreadAgeMs = std::max(oldestUnreadAgeMs, other.oldestUnreadAgeMs);
@@ -55,6 +60,10 @@
     items_.emplace(ticket, Item{.endpoint = endpoint, .work = item, .startedAt = now});
     ticketsByEndpoint_[endpoint].push_back(ticket);
     ++revision_;
+    if (item.role == WorkRole::ShortPrompt) {
+        shortDemand_ = ownShortDemand(now) + item.answerMs / DemandWindowMs;
+        shortDemandAt_ = now;
+    }
     return ticket;
 }
 
@@ -82,10 +91,11 @@
     ++revision_;
 }
 
-void FleetLoad::applyPeerReport(const VmId &peer, const std::vector<EndpointLoadReport> &report, TimePoint now)
+void FleetLoad::applyPeerReport(const VmId &peer, const std::vector<EndpointLoadReport> &report, double shortDemand, TimePoint now)
 {
     PeerReport &known = peers_[peer];
     known.receivedAt = now;
+    known.shortDemand = shortDemand;
     known.loads.clear();
     for (const EndpointLoadReport &entry : report) {
         known.loads[entry.endpointHash] = entry.load;
@@ -106,12 +116,13 @@
     }
     for (const Ticket ticket : tickets->second) {
         const Item &item = items_.at(ticket);
-        load.requests += 1;
-        load.shortWriters += item.work.isLong ? 0 : 1;
+        load.requests += item.work.role == WorkRole::Helper ? 0 : 1;
+        load.shortWriters += item.work.role == WorkRole::ShortPrompt ? 1 : 0;
+        load.longWriters += item.work.role == WorkRole::LongPrompt ? 1 : 0;
         load.memoryTokens += item.work.memoryTokens;
         if (item.isReading) {
             load.unreadMs += item.work.readMs;
-            load.longUnreadMs += item.work.isLong ? item.work.readMs : 0;
+            load.longUnreadMs += item.work.role == WorkRole::ShortPrompt ? 0 : item.work.readMs;
             load.oldestUnreadAgeMs = std::max(load.oldestUnreadAgeMs, elapsedMs(item.startedAt, now));
         }
     }
@@ -144,6 +155,20 @@
     return report;
 }
 
+double FleetLoad::ownShortDemand(TimePoint now) const
+{
+    return shortDemand_ * std::exp(-elapsedMs(shortDemandAt_, now) / DemandWindowMs);
+}
+
+double FleetLoad::totalShortDemand(TimePoint now) const
+{
+    double total = ownShortDemand(now);
+    for (const auto &[peer, report] : peers_) {
+        total += report.shortDemand * std::exp(-elapsedMs(report.receivedAt, now) / DemandWindowMs);
+    }
+    return total;
+}
+
 std::uint64_t FleetLoad::ownRevision() const
 {
     return revision_;
--- a/src/gateway/fleetload.h
+++ b/src/gateway/fleetload.h
@@ -15,6 +15,7 @@
 struct EndpointLoad {
     double requests = 0; ///< Sent and not finished.
     double shortWriters = 0; ///< Requests that suffer when the endpoint reads a long prompt.
+    double longWriters = 0; ///< Requests with long prompts that generate here, now or after the prompt has been read.
     double unreadMs = 0; ///< Reading of all prompts whose first event has not come yet, at the pace of the published figures.
     double longUnreadMs = 0; ///< The part of unreadMs that belongs to long prompts.
     double oldestUnreadAgeMs = 0; ///< Time since the first of these prompts was sent.
@@ -39,11 +40,19 @@
 /// Short name of an endpoint in reports, equal on all VMs.
 std::uint32_t endpointHash(const EndpointId &endpoint);
 
+/// What a request does at an endpoint.
+enum class WorkRole {
+    ShortPrompt,
+    LongPrompt,
+    Helper, ///< A part of a long prompt is read here; the answer is generated elsewhere.
+};
+
 /// One request's part in the load of an endpoint.
 struct WorkItem {
     double readMs = 0;
     double memoryTokens = 0;
-    bool isLong = false;
+    double answerMs = 0; ///< Expected time to generate the answer.
+    WorkRole role = WorkRole::ShortPrompt;
 };
 
 /// Tracks the work in progress at each endpoint: this VM's own requests exactly, those of other VMs from their last report.
@@ -58,7 +67,7 @@
     void end(Ticket ticket);
 
     /// Replaces what is known of the VM @p peer.
-    void applyPeerReport(const VmId &peer, const std::vector<EndpointLoadReport> &report, TimePoint now);
+    void applyPeerReport(const VmId &peer, const std::vector<EndpointLoadReport> &report, double shortDemand, TimePoint now);
 
     /// Drops reports of VMs that have been silent.
     void expirePeers(TimePoint now);
@@ -67,6 +76,10 @@
     [[nodiscard]] EndpointLoad totalLoad(const EndpointId &endpoint, TimePoint now) const;
     [[nodiscard]] std::vector<EndpointLoadReport> ownReport(TimePoint now) const;
 
+    /// Short requests that generate at the same time if they go on arriving as in the last second, of this VM and of all VMs.
+    [[nodiscard]] double ownShortDemand(TimePoint now) const;
+    [[nodiscard]] double totalShortDemand(TimePoint now) const;
+
     /// Rises with each change of this VM's own work.
     [[nodiscard]] std::uint64_t ownRevision() const;
 
@@ -82,6 +95,7 @@
     };
     struct PeerReport {
         TimePoint receivedAt;
+        double shortDemand = 0;
         std::unordered_map<std::uint32_t, EndpointLoad> loads;
     };
 
@@ -89,6 +103,8 @@
     std::map<EndpointId, std::vector<Ticket>> ticketsByEndpoint_;
     std::map<VmId, PeerReport> peers_;
     Ticket nextTicket_ = 1;
+    double shortDemand_ = 0; ///< As of shortDemandAt_.
+    TimePoint shortDemandAt_{};
     std::uint64_t revision_ = 0;
 };
 
--- a/src/gateway/loadreportcodec.cpp
+++ b/src/gateway/loadreportcodec.cpp
@@ -19,6 +19,7 @@
 struct WireHeader {
     std::array<char, 4> magic;
     boost::endian::little_uint32_buf_t sequence;
+    boost::endian::little_uint16_buf_t shortDemandTenths;
     boost::endian::little_uint8_buf_t nameLength;
     boost::endian::little_uint8_buf_t count;
 };
@@ -27,6 +28,7 @@
     boost::endian::little_uint32_buf_t endpointHash;
     boost::endian::little_uint8_buf_t requests;
     boost::endian::little_uint8_buf_t shortWriters;
+    boost::endian::little_uint8_buf_t longWriters;
     boost::endian::little_uint16_buf_t unreadMs;
     boost::endian::little_uint16_buf_t longUnreadMs;
     boost::endian::little_uint16_buf_t oldestUnreadAgeMs;
@@ -54,6 +56,7 @@
     WireHeader header{};
     header.magic = Magic;
     header.sequence = message.sequence;
+    header.shortDemandTenths = saturated<std::uint16_t>(message.shortDemand * 10);
     header.nameLength = static_cast<std::uint8_t>(name.size());
     header.count = static_cast<std::uint8_t>(count);
     std::string bytes;
@@ -64,6 +67,7 @@
         WireEntry entry{};
         entry.endpointHash = message.loads[index].endpointHash;
         entry.requests = saturated<std::uint8_t>(load.requests);
+        entry.longWriters = saturated<std::uint8_t>(load.longWriters);
         entry.shortWriters = saturated<std::uint8_t>(load.shortWriters);
         entry.unreadMs = saturated<std::uint16_t>(load.unreadMs);
         entry.longUnreadMs = saturated<std::uint16_t>(load.longUnreadMs);
@@ -86,12 +90,14 @@
         return std::nullopt;
     }
     LoadReportMessage message{.vm = VmId(std::string(bytes.substr(0, header.nameLength.value()))), .sequence = header.sequence.value()};
+    message.shortDemand = header.shortDemandTenths.value() / 10.0;
     bytes.remove_prefix(header.nameLength.value());
     for (std::size_t index = 0; index < header.count.value(); ++index) {
         WireEntry entry{};
         std::memcpy(&entry, bytes.data() + index * sizeof(entry), sizeof(entry));
         EndpointLoad load;
         load.requests = entry.requests.value();
+        load.longWriters = entry.longWriters.value();
         load.shortWriters = entry.shortWriters.value();
         load.unreadMs = entry.unreadMs.value();
         load.longUnreadMs = entry.longUnreadMs.value();
--- a/src/gateway/loadreportcodec.h
+++ b/src/gateway/loadreportcodec.h
@@ -15,6 +15,7 @@
 struct LoadReportMessage {
     VmId vm;
     std::uint32_t sequence = 0; ///< Rises with each report of one process; later reports replace earlier ones.
+    double shortDemand = 0; ///< Short requests that generate at the same time at the current rate of arrivals.
     std::vector<EndpointLoadReport> loads{};
 
     auto operator<=>(const LoadReportMessage &) const = default;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -75,7 +75,7 @@
             // A VM that restarted with its clock set back is believed after it has been silent for a while.
             if (message->sequence > peer.lastSequence || now - peer.heardAt > SilentAfter) {
                 peer = {.address = sender_, .lastSequence = message->sequence, .heardAt = now};
-                context_.load.applyPeerReport(message->vm, message->loads, now);
+                context_.load.applyPeerReport(message->vm, message->loads, message->shortDemand, now);
             }
         }
         receive();
@@ -85,7 +85,10 @@
 void PeerExchange::report(TimePoint now, bool toSilentPeers)
 {
     reportedRevision_ = context_.load.ownRevision();
-    const std::string bytes = encodeLoadReport({.vm = context_.settings.vm, .sequence = ++sequence_, .loads = context_.load.ownReport(now)});
+    const std::string bytes = encodeLoadReport({.vm = context_.settings.vm,
+                                                .sequence = ++sequence_,
+                                                .shortDemand = context_.load.ownShortDemand(now),
+                                                .loads = context_.load.ownReport(now)});
     for (const auto &[vm, peer] : peers_) {
         if (!toSilentPeers && now - peer.heardAt > SilentAfter) {
             continue;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -57,6 +57,11 @@
 constexpr double HarmlessReadMs = 100;
 constexpr double HarmfulReadMs = 100;
 
+/// The same for requests with long prompts, whose pauses may be longer, and what one of them is worth.
+constexpr double LongHarmlessReadMs = 500;
+constexpr double LongHarmfulReadMs = 400;
+constexpr double LongWriterWorth = 8;
+
 /// Pause objective below which the reading of long prompts beside it makes a stream late.
 constexpr double TightPauseMs = 800;
 
@@ -67,6 +72,9 @@
 /// Part of the worth that is lost when the first event comes after the objective.
 constexpr double LateLoss = 0.75;
 
+/// The larger a prompt, the less may wait to be read before it: this product is divided by its reading time.
+constexpr double AllowedStartMsSquared = 600'000;
+
 constexpr std::array<std::size_t, 11> ReaderCounts{1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17};
 
 /// Share of the worth that is lost when the first event is expected after @p expectedMs: 0 inside the planned part, 1 well after the objective.
@@ -81,18 +89,25 @@
     return shortWriters * std::clamp((partMs - HarmlessReadMs) / HarmfulReadMs, 0.0, 1.0);
 }
 
+/// Worth that long requests which generate at an endpoint lose when it reads for @p passMs in one pass.
+double longHarm(double passMs, double longWriters)
+{
+    return longWriters * LongWriterWorth * std::clamp((passMs - LongHarmlessReadMs) / LongHarmfulReadMs, 0.0, 1.0);
+}
+
 double placeCost(const PlacementCandidate &candidate)
 {
     return (candidate.isSuspended ? ForbiddenCost : 0) + candidate.failureShare * 2;
 }
 
 /// Endpoints, from the front of the common order, that are kept for short requests.
-std::size_t shortSetSize(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates)
+std::size_t shortSetSize(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, double shortDemand)
 {
-    double writers = ShortReserve;
+    double writers = 0;
     for (const PlacementCandidate &candidate : candidates) {
         writers += candidate.load.shortWriters;
     }
+    writers = std::max(writers, shortDemand) + ShortReserve;
     const auto wanted = static_cast<std::size_t>(std::ceil(writers / (ShortFill * engine.slots)));
     const auto most = static_cast<std::size_t>((1 - LongMinimumPart) * static_cast<double>(candidates.size()));
     return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(most, 1));
@@ -101,7 +116,7 @@
 Placement placeShort(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
 {
     const double readMs = engine.readMs(request.promptTokens);
-    const std::size_t shortSet = shortSetSize(engine, candidates);
+    const std::size_t shortSet = shortSetSize(engine, candidates, request.shortDemand);
     Placement best;
     double bestCost = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -178,8 +193,11 @@
             startMs = std::max(startMs, reader->load.remainingReadMs() * reader->pace);
             pace = std::max(pace, reader->pace);
             cost += placeCost(*reader) + harm(partMs + reader->load.remainingLongReadMs(), reader->load.shortWriters);
+            cost += longHarm(partMs + reader->load.remainingReadMs(), reader->load.longWriters);
         }
         Placement placement{.readMs = partMs, .isLong = true};
+        placement.startMs = startMs;
+        placement.allowedStartMs = AllowedStartMsSquared / readMs;
         placement.firstEventMs = startMs + partMs * pace + engine.passMs(1, request.promptTokens) * pace;
         cost += distributeMemory(engine, readers, request, placement) ? 0 : ForbiddenCost / 2;
         cost += worth * (lateness(placement.firstEventMs, request.objectiveMs) + EarlinessCost * placement.firstEventMs / request.objectiveMs);
@@ -197,7 +215,7 @@
 
 Placement placeLong(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
 {
-    const std::size_t shortSet = shortSetSize(engine, candidates);
+    const std::size_t shortSet = shortSetSize(engine, candidates, request.shortDemand);
     std::vector<const PlacementCandidate *> shortOrder;
     std::vector<const PlacementCandidate *> longOrder;
     double longReadMs = 0;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -26,6 +26,7 @@
     double answerTokens = 0;
     double objectiveMs = 0; ///< Time to the first event that earns full credit, from now.
     double pauseMs = 0; ///< Longest pause between events.
+    double shortDemand = 0; ///< Short requests that will generate at the same time, of all VMs.
     double timeLeftMs = 0; ///< Until the request is given up.
     std::uint64_t seed = 0; ///< Breaks ties.
 };
@@ -37,6 +38,8 @@
     std::uint64_t tokensOnHelper = 0; ///< Memory to be reserved at each helper; 0 for none.
     std::uint64_t tokensOnEndpoint = 0; ///< Memory that the prompt takes at the endpoint itself.
     double readMs = 0; ///< Reading at each endpoint that takes part.
+    double startMs = 0; ///< Expected time until the last endpoint begins to read its part.
+    double allowedStartMs = 0; ///< Beyond it the request is better sent later, so that smaller ones go first.
     double firstEventMs = 0; ///< Expected time to the first event.
     bool isLong = false;
     bool isRefused = false; ///< Serving the request would cost more than it is worth; it may come back after retryAfterMs.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -37,6 +37,10 @@
 constexpr int ShortUrgency = 2;
 constexpr int LongUrgency = 6;
 
+/// Part of the latency objective for which a long prompt is held while its endpoints read other prompts.
+constexpr double HoldPart = 1.2;
+constexpr Duration HoldCheckPeriod = 20ms;
+
 /// Pause after which a caller that was refused may come back.
 constexpr milliseconds RefusalPause{300};
 
@@ -184,6 +188,7 @@
     }
     PlacementRequest placementRequest{.promptTokens = caller_.promptTokens, .answerTokens = caller_.answerTokens, .seed = seed};
     placementRequest.objectiveMs = std::max(1.0, toMs(route_->latencyObjective - (now - request_.receivedAt)));
+    placementRequest.shortDemand = context_.load.totalShortDemand(now);
     placementRequest.timeLeftMs = toMs(deadline_ - now);
     placementRequest.pauseMs = toMs(route_->pauseObjective);
     return placeGeneration(*service_->engine, choices, placementRequest);
@@ -204,6 +209,9 @@
         sendEnded(SendOutcome::NotConnected, false);
         return;
     }
+    if (hold(placement, now)) {
+        return;
+    }
     if (placement.isRefused && !facts_.mayHaveRun && !facts_.answerStarted) {
         context_.metrics.increment("lentillock_shed_total");
         Log::write(Log::Level::Info,
@@ -223,11 +231,15 @@
     send_->resumed = relayedEvents_ > 0;
     WorkItem item = PlainWork;
     if (placement.readMs > 0) {
-        item = {.readMs = placement.readMs, .memoryTokens = static_cast<double>(placement.tokensOnEndpoint), .isLong = placement.isLong};
+        const double events = caller_.expectedAnswerTokens.value_or(caller_.answerTokens) / std::max(1, service_->engine->stepsPerPass);
+        item = {.readMs = placement.readMs,
+                .memoryTokens = static_cast<double>(placement.tokensOnEndpoint),
+                .answerMs = events * service_->engine->passMs(service_->engine->slots, 0),
+                .role = placement.isLong ? WorkRole::LongPrompt : WorkRole::ShortPrompt};
     }
     send_->load = context_.load.begin(send_->endpoint.id, item, now);
     for (const EndpointRecord *helper : placement.helpers) {
-        const WorkItem part{.readMs = placement.readMs, .memoryTokens = static_cast<double>(placement.tokensOnHelper), .isLong = true};
+        const WorkItem part{.readMs = placement.readMs, .memoryTokens = static_cast<double>(placement.tokensOnHelper), .role = WorkRole::Helper};
         send_->helperLoads.push_back(context_.load.begin(helper->id, part, now));
     }
     send_->placement = std::move(placement);
@@ -254,6 +266,30 @@
     });
 }
 
+bool RequestExchange::hold(const Placement &placement, TimePoint now)
+{
+    const auto limit = std::chrono::duration_cast<Duration>(route_->latencyObjective * HoldPart);
+    if (placement.startMs <= placement.allowedStartMs || now - request_.receivedAt >= limit || facts_.sends > 0) {
+        return false;
+    }
+    if (!std::exchange(held_, true)) {
+        context_.metrics.increment("lentillock_held_total");
+        Log::write(Log::Level::Info,
+                   "held",
+                   {{"request", caller_.id.value()},
+                    {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
+                    {"startMs", std::to_string(static_cast<int>(placement.startMs))},
+                    {"allowedMs", std::to_string(static_cast<int>(placement.allowedStartMs))}});
+    }
+    context_.timers.subscribeOnce(now + HoldCheckPeriod, [weak = weak_from_this()](TimePoint due) {
+        const auto self = weak.lock();
+        if (self && !self->finished_) {
+            self->send(due);
+        }
+    });
+    return true;
+}
+
 void RequestExchange::transmit(TimePoint now)
 {
     EndpointOrder order{.expectedEndpoint = send_->endpoint.id, .workspace = workspace_, .lastEventId = lastEventId_};
@@ -351,7 +387,10 @@
         facts_.answerStarted = true;
         firstEventAt_ = now;
         sink_.beginStream(send_->head);
+    } else if (lastEventAt_ != TimePoint()) {
+        longestPause_ = std::max(longestPause_, now - lastEventAt_);
     }
+    lastEventAt_ = now;
     if (relayedEvents_ > 0) {
         context_.load.firstEvent(send_->load);
         for (const FleetLoad::Ticket helper : send_->helperLoads) {
@@ -568,6 +607,7 @@
                 {"sends", std::to_string(facts_.sends)},
                 {"events", std::to_string(relayedEvents_)},
                 {"firstMs", firstEventAt_ == TimePoint() ? "" : std::to_string(static_cast<int>(toMs(firstEventAt_ - request_.receivedAt)))},
+                {"pauseMs", std::to_string(static_cast<int>(toMs(longestPause_)))},
                 {"totalMs", std::to_string(static_cast<int>(toMs(now - request_.receivedAt)))}});
 }
 
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -58,6 +58,7 @@
 
     bool admit(TimePoint now);
     void send(TimePoint now);
+    bool hold(const Placement &placement, TimePoint now);
     void transmit(TimePoint now);
     std::vector<PlacementCandidate> candidates(TimePoint now) const;
     Placement place(TimePoint now) const;
@@ -95,6 +96,9 @@
     std::optional<std::uint64_t> lastEventId_;
     std::size_t relayedEvents_ = 0;
     TimePoint firstEventAt_{};
+    TimePoint lastEventAt_{};
+    Duration longestPause_{};
+    bool held_ = false;
 };
 
 }
