--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -29,6 +29,9 @@
 constexpr double UnitWorthTokens = 5000;
 constexpr double WorthExponent = 0.8;
 
+/// Reading in one part that is avoided as long as there are endpoints to share it: everything else at the endpoint waits for it.
+constexpr double LongestPartMs = 700;
+
 /// Makes all VMs fill the endpoints in the same order.
 constexpr double OrderCost = 0.004;
 
@@ -53,6 +56,11 @@
 /// Cost of putting a short request on an endpoint that reads long prompts.
 constexpr double SpillCost = 0.2;
 
+/// Expected first event of a short request, in parts of its objective, beyond which it is refused, and when it may come back.
+constexpr double ShortRefusalPart = 1.2;
+constexpr double ShortRetryMinimumMs = 500;
+constexpr std::uint64_t ShortRetrySpreadMs = 2500;
+
 /// Reading that requests beside it do not notice, and the reading beyond it that makes all of them late, in one pass.
 constexpr double HarmlessReadMs = 100;
 constexpr double HarmfulReadMs = 100;
@@ -124,11 +132,12 @@
         const EndpointLoad &load = candidate.load;
         const double memory = load.memoryTokens + request.promptTokens + request.answerTokens;
         const double passMs = engine.passMs(load.requests + 1, memory) * candidate.pace;
-        const double firstEventMs = (load.remainingReadMs() + readMs) * candidate.pace + 1.5 * passMs;
+        const double excess = std::max(0.0, load.requests + 1 - engine.slots);
+        const double slotMs = excess * engine.answerMs(engine.usualAnswerTokens) / engine.slots;
+        const double firstEventMs = (load.remainingReadMs() + readMs + slotMs) * candidate.pace + 1.5 * passMs;
         double cost = placeCost(candidate) + OrderCost * static_cast<double>(index) + (index < shortSet ? 0 : SpillCost);
         cost += lateness(firstEventMs, request.objectiveMs) + EarlinessCost * firstEventMs / request.objectiveMs;
-        cost += OverflowCost * std::max(0.0, load.requests + 1 - engine.slots) / engine.slots;
-        cost += load.requests + 1 > engine.slots ? OverflowCost : 0;
+        cost += OverflowCost * excess / engine.slots;
         cost += memory > engine.memoryTokens ? OverflowCost : 0;
         if (best.endpoint == nullptr || cost < bestCost) {
             bestCost = cost;
@@ -136,6 +145,10 @@
         }
     }
     best.tokensOnEndpoint = static_cast<std::uint64_t>(request.promptTokens + request.answerTokens);
+    // A queue of late requests would make all that follow late; the ones that come back find it shorter.
+    best.isRefused = best.firstEventMs > ShortRefusalPart * request.objectiveMs;
+    // Spread, so that the refused ones do not come back together.
+    best.retryAfterMs = ShortRetryMinimumMs + static_cast<double>(request.seed % ShortRetrySpreadMs);
     return best;
 }
 
@@ -184,6 +197,9 @@
         if (count > order.size()) {
             break;
         }
+        if (readMs / static_cast<double>(count) > LongestPartMs && count + 1 <= order.size()) {
+            continue;
+        }
         std::vector<const PlacementCandidate *> readers(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count));
         const double partMs = readMs / static_cast<double>(count);
         double startMs = 0;
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -231,10 +231,9 @@
     send_->resumed = relayedEvents_ > 0;
     WorkItem item = PlainWork;
     if (placement.readMs > 0) {
-        const double events = caller_.expectedAnswerTokens.value_or(caller_.answerTokens) / std::max(1, service_->engine->stepsPerPass);
         item = {.readMs = placement.readMs,
                 .memoryTokens = static_cast<double>(placement.tokensOnEndpoint),
-                .answerMs = events * service_->engine->passMs(service_->engine->slots, 0),
+                .answerMs = service_->engine->answerMs(caller_.expectedAnswerTokens.value_or(caller_.answerTokens)),
                 .role = placement.isLong ? WorkRole::LongPrompt : WorkRole::ShortPrompt};
     }
     send_->load = context_.load.begin(send_->endpoint.id, item, now);
--- a/src/gateway/servingplan.cpp
+++ b/src/gateway/servingplan.cpp
@@ -18,6 +18,11 @@
     return stepsPerPass * (stepMs + writers * stepMsPerRequest + contextTokens / 1000 * stepMsPerThousandContext);
 }
 
+double EngineModel::answerMs(double tokens) const
+{
+    return tokens / std::max(1, stepsPerPass) * passMs(slots, 0);
+}
+
 ServingPlan::ServingPlan(ServingPlanParts parts)
     : version_(parts.version)
     , limits_(parts.limits)
--- a/src/gateway/servingplan.h
+++ b/src/gateway/servingplan.h
@@ -60,6 +60,7 @@
     double msPerMillionPairs = 0; ///< Attention cost of reading: pairs of a token and an earlier one.
     int stepsPerPass = 1; ///< Token steps of a pass that generates; one event of a stream holds as many tokens.
     milliseconds reportLag{0};
+    double usualAnswerTokens = 0; ///< Mean length of an answer.
 
     auto operator<=>(const EngineModel &) const = default;
 
@@ -68,6 +69,9 @@
 
     /// Time of one pass with @p writers requests that generate and @p contextTokens tokens of context in total.
     [[nodiscard]] double passMs(double writers, double contextTokens) const;
+
+    /// Time to generate an answer of @p tokens in a full batch.
+    [[nodiscard]] double answerMs(double tokens) const;
 };
 
 struct ServiceEntry {
