ViewFreshness: Let one VM read the store for all

Change: load reports carry what a VM has read; a VM reads only when it is behind another one or when nobody has confirmed what it knows.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -1,5 +1,7 @@
 #include "gateway/endpointdirectory.h"
 
+#include "base/hash.h"
+
 #include <set>
 
 namespace Lentillock
@@ -105,6 +107,21 @@
     return records_;
 }
 
+std::uint32_t EndpointDirectory::digest() const
+{
+    if (digestRevision_ == revision_) {
+        return digest_;
+    }
+    std::uint64_t digest = 0;
+    for (const auto &[id, record] : records_) {
+        const std::uint64_t seed = static_cast<std::uint64_t>(record.startedAtMs) * 2 + (record.isLeaving ? 1 : 0);
+        digest += stableHash(id.value() + ' ' + record.service + ' ' + record.address, seed);
+    }
+    digest_ = static_cast<std::uint32_t>(digest ^ (digest >> 32));
+    digestRevision_ = revision_;
+    return digest_;
+}
+
 std::uint64_t EndpointDirectory::revision() const
 {
     return revision_;
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -58,6 +58,9 @@
 
     [[nodiscard]] const std::map<EndpointId, EndpointRecord> &all() const;
 
+    /// Equal on all VMs that know the same records.
+    [[nodiscard]] std::uint32_t digest() const;
+
     /// Rises with each change of the set or of a record.
     [[nodiscard]] std::uint64_t revision() const;
 
@@ -69,6 +72,8 @@
     std::map<EndpointId, TimePoint> lapsed_; ///< Removed by the platform but still used, with the time at which they go.
     TimePoint removalsDeferredUntil_{};
     std::uint64_t revision_ = 0;
+    mutable std::uint32_t digest_ = 0; ///< Of digestRevision_.
+    mutable std::uint64_t digestRevision_ = 0;
 };
 
 }
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -9,6 +9,7 @@
 #include "gateway/gatewaysettings.h"
 #include "gateway/repeatbudget.h"
 #include "gateway/servingplan.h"
+#include "gateway/viewfreshness.h"
 #include "gateway/wireprotocol.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,13 @@
 namespace Lentillock
 {
 
+/// Ages at which VMs read the store for themselves. A version must be in force within two seconds, a leave notice as well. The first
+/// reader always waits at the store for a new version, so its knowledge is as old as one held read.
+inline constexpr Duration PlanReaderAge = 0ms;
+inline constexpr Duration PlanOthersAge = 1300ms;
+inline constexpr Duration EndpointReaderAge = 700ms;
+inline constexpr Duration EndpointOthersAge = 1100ms;
+
 /// What the tasks of a gateway share. All of them run on one thread.
 struct GatewayContext {
     GatewayContext(boost::asio::io_context &ioContext, GatewaySettings gatewaySettings, const WireProtocol &wireProtocol)
@@ -41,6 +49,10 @@
     ServingPlanPointer plan; ///< Null until a version is known.
     EndpointDirectory directory;
     EndpointChannels channels;
+    ViewFreshness planFreshness{PlanReaderAge, PlanOthersAge};
+    ViewFreshness endpointFreshness{EndpointReaderAge, EndpointOthersAge};
+    std::uint32_t endpointOffset = 0; ///< Position in the list of endpoints up to which it has been read.
+    std::size_t readerRank = 0; ///< Place of this VM among those that read the store in turn.
     FleetLoad load;
     EndpointHealth health;
     RepeatBudget repeats;
--- a/src/gateway/loadreportcodec.cpp
+++ b/src/gateway/loadreportcodec.cpp
@@ -14,11 +14,16 @@
 namespace
 {
 
-constexpr std::array<char, 4> Magic{'L', 'T', 'L', '1'};
+constexpr std::array<char, 4> Magic{'L', 'T', 'L', '2'};
 
 struct WireHeader {
     std::array<char, 4> magic;
     boost::endian::little_uint32_buf_t sequence;
+    boost::endian::little_uint64_buf_t planVersion;
+    boost::endian::little_uint32_buf_t endpointOffset;
+    boost::endian::little_uint32_buf_t endpointDigest;
+    boost::endian::little_uint16_buf_t planAgeMs;
+    boost::endian::little_uint16_buf_t endpointAgeMs;
     boost::endian::little_uint16_buf_t shortDemandTenths;
     boost::endian::little_uint8_buf_t nameLength;
     boost::endian::little_uint8_buf_t count;
@@ -56,6 +61,11 @@
     WireHeader header{};
     header.magic = Magic;
     header.sequence = message.sequence;
+    header.planVersion = message.view.planVersion;
+    header.endpointOffset = message.view.endpointOffset;
+    header.endpointDigest = message.view.endpointDigest;
+    header.planAgeMs = saturated<std::uint16_t>(static_cast<double>(message.view.planAge.count()));
+    header.endpointAgeMs = saturated<std::uint16_t>(static_cast<double>(message.view.endpointAge.count()));
     header.shortDemandTenths = saturated<std::uint16_t>(message.shortDemand * 10);
     header.nameLength = static_cast<std::uint8_t>(name.size());
     header.count = static_cast<std::uint8_t>(count);
@@ -90,6 +100,11 @@
         return std::nullopt;
     }
     LoadReportMessage message{.vm = VmId(std::string(bytes.substr(0, header.nameLength.value()))), .sequence = header.sequence.value()};
+    message.view = {.planVersion = header.planVersion.value(),
+                    .endpointOffset = header.endpointOffset.value(),
+                    .endpointDigest = header.endpointDigest.value(),
+                    .planAge = milliseconds(header.planAgeMs.value()),
+                    .endpointAge = milliseconds(header.endpointAgeMs.value())};
     message.shortDemand = header.shortDemandTenths.value() / 10.0;
     bytes.remove_prefix(header.nameLength.value());
     for (std::size_t index = 0; index < header.count.value(); ++index) {
--- a/src/gateway/loadreportcodec.h
+++ b/src/gateway/loadreportcodec.h
@@ -2,6 +2,7 @@
 
 #include "base/identifier.h"
 #include "gateway/fleetload.h"
+#include "gateway/viewfreshness.h"
 
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
 struct LoadReportMessage {
     VmId vm;
     std::uint32_t sequence = 0; ///< Rises with each report of one process; later reports replace earlier ones.
+    ViewReport view{};
     double shortDemand = 0; ///< Short requests that generate at the same time at the current rate of arrivals.
     std::vector<EndpointLoadReport> loads{};
 
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -1,6 +1,8 @@
 #include "gateway/peerexchange.h"
 
-#include "base/log.h"
+#include "base/hash.h"
+
+#include <algorithm>
 
 namespace Lentillock
 {
@@ -13,6 +15,9 @@
 /// Changes of this VM's load are collected for this time before they are reported.
 constexpr Duration ReportPeriod = 15ms;
 
+/// Key by which the VMs are ranked for reading the store.
+constexpr const char *ReaderKey = "store-reader";
+
 /// A report is sent at least this often.
 constexpr Duration IdleReportPeriod = 250ms;
 
@@ -36,7 +41,10 @@
     sequence_ = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     receive();
     const TimePoint now = std::chrono::steady_clock::now();
-    context_.timers.subscribePeriodic(now + IdleReportPeriod, IdleReportPeriod, [this](TimePoint due) { report(due, true); });
+    context_.timers.subscribePeriodic(now + IdleReportPeriod, IdleReportPeriod, [this](TimePoint due) {
+        updateRank(due);
+        report(due, true);
+    });
 }
 
 void PeerExchange::scheduleReport(TimePoint now)
@@ -75,6 +83,7 @@
             // A VM that restarted with its clock set back is believed after it has been silent for a while.
             if (message->sequence > peer.lastSequence || now - peer.heardAt > SilentAfter) {
                 peer = {.address = sender_, .lastSequence = message->sequence, .heardAt = now};
+                compareViews(message->view, now);
                 context_.load.applyPeerReport(message->vm, message->loads, message->shortDemand, now);
             }
         }
@@ -82,11 +91,50 @@
     });
 }
 
+ViewReport PeerExchange::ownView(TimePoint now) const
+{
+    return {.planVersion = context_.plan ? context_.plan->version() : 0,
+            .endpointOffset = context_.endpointOffset,
+            .endpointDigest = context_.directory.digest(),
+            .planAge = context_.planFreshness.age(now),
+            .endpointAge = context_.endpointFreshness.age(now)};
+}
+
+void PeerExchange::compareViews(const ViewReport &peer, TimePoint now)
+{
+    const ViewReport own = ownView(now);
+    if (peer.planVersion == own.planVersion) {
+        context_.planFreshness.noteConfirmed(peer.planAge, now);
+    } else if (peer.planVersion > own.planVersion) {
+        context_.planFreshness.noteBehind();
+    }
+    if (peer.endpointDigest == own.endpointDigest) {
+        context_.endpointFreshness.noteConfirmed(peer.endpointAge, now);
+    } else if (peer.endpointOffset > own.endpointOffset) {
+        context_.endpointFreshness.noteBehind();
+    }
+}
+
+void PeerExchange::updateRank(TimePoint now)
+{
+    // The order is the same on all VMs that hear each other; a VM that is silent does not count.
+    const std::uint64_t own = rendezvousScore(ReaderKey, context_.settings.vm.value());
+    context_.readerRank = static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) {
+        return now - peer.second.heardAt < SilentAfter && rendezvousScore(ReaderKey, peer.first.value()) > own;
+    }));
+}
+
+void PeerExchange::announceView()
+{
+    report(std::chrono::steady_clock::now(), false);
+}
+
 void PeerExchange::report(TimePoint now, bool toSilentPeers)
 {
     reportedRevision_ = context_.load.ownRevision();
     const std::string bytes = encodeLoadReport({.vm = context_.settings.vm,
                                                 .sequence = ++sequence_,
+                                                .view = ownView(now),
                                                 .shortDemand = context_.load.ownShortDemand(now),
                                                 .loads = context_.load.ownReport(now)});
     for (const auto &[vm, peer] : peers_) {
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -32,12 +32,18 @@
     /// Schedules a report if this VM's load has changed since the last one. Called after each batch of events.
     void scheduleReport(TimePoint now);
 
+    /// Tells the other VMs now that this one has read something new.
+    void announceView();
+
     /// Adds VMs to send reports to.
     void addPeers(const std::vector<PeerVm> &peers);
 
 private:
     void receive();
     void report(TimePoint now, bool toSilentPeers);
+    void compareViews(const ViewReport &peer, TimePoint now);
+    [[nodiscard]] ViewReport ownView(TimePoint now) const;
+    void updateRank(TimePoint now);
 
     GatewayContext &context_;
     boost::asio::ip::udp::socket socket_;
