--- a/src/gateway/fleetload.cpp
+++ b/src/gateway/fleetload.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// A VM reports at least four times in this time; after it, its work is taken to have ended with it.
-constexpr Duration PeerReportLifetime = 1s;
+/// A VM reports at least twice in this time; after it, its work is taken to have ended with it.
+constexpr Duration PeerReportLifetime = 2s;
 
 /// Part of the reading that is taken to remain for as long as no first event has come.
 constexpr double UnreadFloor = 0.1;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -18,8 +18,12 @@
 /// Key by which the VMs are ranked for reading the store.
 constexpr const char *ReaderKey = "store-reader";
 
+/// In a large fleet reports are collected for longer, so that the cost of a VM grows with the fleet and not with its square.
+constexpr Duration ReportPeriodPerPeer = 1500us;
+
 /// A report is sent at least this often.
 constexpr Duration IdleReportPeriod = 250ms;
+constexpr Duration IdleReportPeriodPerPeer = 12ms;
 
 /// A peer that has been silent for this long gets reports only with the idle period.
 constexpr Duration SilentAfter = 2s;
@@ -40,10 +44,16 @@
     // Reports of an earlier process of this VM have lower numbers.
     sequence_ = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     receive();
-    const TimePoint now = std::chrono::steady_clock::now();
-    context_.timers.subscribePeriodic(now + IdleReportPeriod, IdleReportPeriod, [this](TimePoint due) {
+    reportWhenIdle(std::chrono::steady_clock::now());
+}
+
+void PeerExchange::reportWhenIdle(TimePoint now)
+{
+    const Duration period = std::max(IdleReportPeriod, IdleReportPeriodPerPeer * static_cast<int>(peers_.size()));
+    context_.timers.subscribeOnce(now + period, [this](TimePoint due) {
         updateRank(due);
         report(due, true);
+        reportWhenIdle(due);
     });
 }
 
@@ -53,7 +63,8 @@
         return;
     }
     scheduled_ = true;
-    context_.timers.subscribeOnce(now + ReportPeriod, [this](TimePoint due) {
+    const Duration period = std::max(ReportPeriod, ReportPeriodPerPeer * static_cast<int>(peers_.size()));
+    context_.timers.subscribeOnce(now + period, [this](TimePoint due) {
         scheduled_ = false;
         report(due, false);
     });
@@ -96,8 +107,8 @@
     return {.planVersion = context_.plan ? context_.plan->version() : 0,
             .endpointOffset = context_.endpointOffset,
             .endpointDigest = context_.directory.digest(),
-            .planAge = context_.planFreshness.age(now),
-            .endpointAge = context_.endpointFreshness.age(now)};
+            .planAge = context_.planFreshness.readAge(now),
+            .endpointAge = context_.endpointFreshness.readAge(now)};
 }
 
 void PeerExchange::compareViews(const ViewReport &peer, TimePoint now)
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -43,6 +43,7 @@
     void report(TimePoint now, bool toSilentPeers);
     void compareViews(const ViewReport &peer, TimePoint now);
     [[nodiscard]] ViewReport ownView(TimePoint now) const;
+    void reportWhenIdle(TimePoint now);
     void updateRank(TimePoint now);
 
     GatewayContext &context_;
--- a/src/gateway/viewfreshness.cpp
+++ b/src/gateway/viewfreshness.cpp
@@ -24,6 +24,7 @@
 
 void ViewFreshness::noteRead(TimePoint now)
 {
+    readAt_ = now;
     confirmedAt_ = now;
     behind_ = false;
 }
@@ -44,9 +45,9 @@
     return behind_ || now - confirmedAt_ >= due;
 }
 
-milliseconds ViewFreshness::age(TimePoint now) const
+milliseconds ViewFreshness::readAge(TimePoint now) const
 {
-    return std::chrono::duration_cast<milliseconds>(now - confirmedAt_);
+    return std::chrono::duration_cast<milliseconds>(now - readAt_);
 }
 
 }
--- a/src/gateway/viewfreshness.h
+++ b/src/gateway/viewfreshness.h
@@ -15,7 +15,7 @@
     std::uint64_t planVersion = 0;
     std::uint32_t endpointOffset = 0; ///< Position in the list of endpoints up to which the VM has read.
     std::uint32_t endpointDigest = 0; ///< Equal for equal lists.
-    milliseconds planAge{0}; ///< Time since the store confirmed the plan, directly or through another VM.
+    milliseconds planAge{0}; ///< Time since the VM itself has read the plan at the store.
     milliseconds endpointAge{0};
 
     auto operator<=>(const ViewReport &) const = default;
@@ -41,11 +41,14 @@
     /// Whether this VM is to read the store now. @p rank is its place among the VMs that read in turn.
     [[nodiscard]] bool isReadDue(std::size_t rank, TimePoint now) const;
 
-    [[nodiscard]] milliseconds age(TimePoint now) const;
+    /// Time since this VM itself has read the store. Only this is told to others: an age that is handed on from VM to VM loses the time
+    /// that each report takes, and would never grow up.
+    [[nodiscard]] milliseconds readAge(TimePoint now) const;
 
 private:
     Duration readerAge_;
     Duration othersAge_;
+    TimePoint readAt_{};
     TimePoint confirmedAt_{};
     bool behind_ = true;
 };
