--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -70,6 +70,9 @@
     lapsed_.erase(record.id);
     EndpointRecord &known = records_[record.id];
     if (known != record) {
+        if (!known.isSameIncarnation(record)) {
+            replaced_.push_back(record.id);
+        }
         known = record;
         ++revision_;
     }
@@ -82,9 +85,15 @@
         return;
     }
     lapsed_.erase(id);
+    replaced_.push_back(id);
     revision_ += records_.erase(id);
 }
 
+std::vector<EndpointId> EndpointDirectory::takeReplaced()
+{
+    return std::exchange(replaced_, {});
+}
+
 const EndpointRecord *EndpointDirectory::find(const EndpointId &id) const
 {
     const auto found = records_.find(id);
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -53,6 +53,9 @@
     /// The record of @p id if the endpoint is known, else null.
     [[nodiscard]] const EndpointRecord *find(const EndpointId &id) const;
 
+    /// Returns and forgets the endpoints that have started anew, or gone, since the last call.
+    std::vector<EndpointId> takeReplaced();
+
     /// Endpoints of @p service that may get new work, ordered by id.
     [[nodiscard]] std::vector<const EndpointRecord *> usable(const std::string &service) const;
 
@@ -71,6 +74,7 @@
     std::map<EndpointId, EndpointRecord> records_;
     std::map<EndpointId, TimePoint> lapsed_; ///< Removed by the platform but still used, with the time at which they go.
     TimePoint removalsDeferredUntil_{};
+    std::vector<EndpointId> replaced_;
     std::uint64_t revision_ = 0;
     mutable std::uint32_t digest_ = 0; ///< Of digestRevision_.
     mutable std::uint64_t digestRevision_ = 0;
--- a/src/gateway/endpointhealth.cpp
+++ b/src/gateway/endpointhealth.cpp
@@ -32,6 +32,10 @@
     case SendOutcome::Full:
         state.suspendedUntil = std::max(state.suspendedUntil, now + FullSuspension);
         break;
+    case SendOutcome::Replaced:
+        // An address that has been given to another endpoint does not come back; forget() lifts this when the list names a new start.
+        state.suspendedUntil = TimePoint::max();
+        break;
     case SendOutcome::NotConnected:
     case SendOutcome::Broken:
     case SendOutcome::Silent:
--- a/src/gateway/endpointhealth.h
+++ b/src/gateway/endpointhealth.h
@@ -12,6 +12,7 @@
 enum class SendOutcome {
     Answered, ///< A whole answer with a receipt, or a healthy refusal of the request.
     Full, ///< The endpoint had no place.
+    Replaced, ///< Another endpoint has the address; the one that was meant is gone.
     NotConnected,
     Broken, ///< The channel ended before the answer did.
     Silent, ///< Nothing arrived in time.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,11 +76,21 @@
     return context_;
 }
 
+const GatewayContext &Gateway::context() const
+{
+    return context_;
+}
+
 PeerExchange &Gateway::peers()
 {
     return peers_;
 }
 
+const PeerExchange &Gateway::peers() const
+{
+    return peers_;
+}
+
 void Gateway::listen()
 {
     const tcp::endpoint address = socketAddress(context_.settings.callerAddress);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,7 +27,9 @@
     void applyPlan(const ServingPlanPointer &plan);
 
     [[nodiscard]] GatewayContext &context();
+    [[nodiscard]] const GatewayContext &context() const;
     [[nodiscard]] PeerExchange &peers();
+    [[nodiscard]] const PeerExchange &peers() const;
 
     /// Called when the settings file may have changed.
     std::function<void()> onReload;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -93,7 +93,7 @@
             Peer &peer = peers_[message->vm];
             // A VM that restarted with its clock set back is believed after it has been silent for a while.
             if (message->sequence > peer.lastSequence || now - peer.heardAt > SilentAfter) {
-                peer = {.address = sender_, .lastSequence = message->sequence, .heardAt = now};
+                peer = {.address = sender_, .lastSequence = message->sequence, .heardAt = now, .view = message->view};
                 compareViews(message->view, now);
                 context_.load.applyPeerReport(message->vm, message->loads, message->shortDemand, now);
             }
@@ -135,6 +135,17 @@
     }));
 }
 
+std::optional<std::string> PeerExchange::freshPeer(TimePoint now) const
+{
+    const auto age = [now](const Peer &peer) { return peer.view.endpointAge + (now - peer.heardAt); };
+    const auto freshest
+        = std::min_element(peers_.begin(), peers_.end(), [&age](const auto &left, const auto &right) { return age(left.second) < age(right.second); });
+    if (freshest == peers_.end() || age(freshest->second) > SilentAfter) {
+        return std::nullopt;
+    }
+    return freshest->second.address.address().to_string();
+}
+
 void PeerExchange::announceView()
 {
     report(std::chrono::steady_clock::now(), false);
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
     /// Schedules a report if this VM's load has changed since the last one. Called after each batch of events.
     void scheduleReport(TimePoint now);
 
+    /// IP of a VM that has read the store recently, for a VM that cannot reach it itself.
+    [[nodiscard]] std::optional<std::string> freshPeer(TimePoint now) const;
+
     /// Tells the other VMs now that this one has read something new.
     void announceView();
 
@@ -54,6 +58,7 @@
         boost::asio::ip::udp::endpoint address;
         std::uint32_t lastSequence = 0;
         TimePoint heardAt{};
+        ViewReport view{};
     };
     std::map<VmId, Peer> peers_;
     std::uint32_t sequence_ = 0;
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -69,6 +69,8 @@
         return "answered";
     case SendOutcome::Full:
         return "not-run";
+    case SendOutcome::Replaced:
+        return "replaced";
     case SendOutcome::NotConnected:
         return "not-connected";
     case SendOutcome::Broken:
@@ -421,7 +423,7 @@
         return;
     }
     if (send_->answer.wasNotRun) {
-        sendEnded(SendOutcome::Full, false);
+        sendEnded(send_->answer.isReplaced ? SendOutcome::Replaced : SendOutcome::Full, false);
         return;
     }
     if (!send_->answer.hasReceipt) {
--- a/src/gateway/wireprotocol.h
+++ b/src/gateway/wireprotocol.h
@@ -48,6 +48,7 @@
     RequestId requestId; ///< Of the request that it answers; empty if the endpoint did not say.
     bool hasReceipt = false; ///< Whether the endpoint vouches for the answer.
     bool wasNotRun = false; ///< The request has not run and never will at this endpoint.
+    bool isReplaced = false; ///< Another endpoint than the expected one has answered.
     std::string endpointAtFault; ///< Address of another endpoint that caused a refusal; may be empty.
 };
 
