--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -4,9 +4,15 @@
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
@@ -32,6 +38,52 @@
     return names.at(static_cast<std::size_t>(level));
 }
 
+std::uint64_t droppedLineCount = 0;
+
+/// Writes lines to standard output as long as that does not block and the rate is not exceeded.
+class BoundedBackend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    explicit BoundedBackend(int linesPerSecond)
+        : linesPerSecond_(linesPerSecond)
+    {
+    }
+
+    void consume(const boost::log::record_view & /*record*/, const std::string &line)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now - windowStart_ >= std::chrono::seconds(1)) {
+            windowStart_ = now;
+            lines_ = 0;
+        }
+        if (++lines_ > linesPerSecond_ || !isWritable()) {
+            ++droppedLineCount;
+            return;
+        }
+        std::string text = line + '\n';
+        if (droppedLineCount != reportedDrops_) {
+            reportedDrops_ = droppedLineCount;
+            text = "{\"level\":\"warning\",\"event\":\"log-lines-dropped\",\"total\":\"" + std::to_string(reportedDrops_) + "\"}\n" + text;
+        }
+        if (::write(STDOUT_FILENO, text.data(), text.size()) < 0) {
+            ++droppedLineCount;
+        }
+    }
+
+private:
+    /// A pipe that is writable takes PIPE_BUF bytes without blocking; lines are shorter.
+    static bool isWritable()
+    {
+        pollfd descriptor{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        return ::poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+    }
+
+    int linesPerSecond_;
+    int lines_ = 0;
+    std::uint64_t reportedDrops_ = 0;
+    std::chrono::steady_clock::time_point windowStart_{};
+};
+
 std::int64_t wallClockMilliseconds()
 {
     using namespace std::chrono;
@@ -50,6 +102,24 @@
     boost::log::core::get()->set_filter(expressions::attr<Level>("Severity") >= minimum);
 }
 
+void initializeBounded(std::string_view program, Level minimum, int linesPerSecond)
+{
+    programName = program;
+    namespace expressions = boost::log::expressions;
+    const auto core = boost::log::core::get();
+    core->remove_all_sinks();
+    const auto backend = boost::make_shared<BoundedBackend>(linesPerSecond);
+    const auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<BoundedBackend>>(backend);
+    sink->set_formatter(expressions::stream << expressions::smessage);
+    core->add_sink(sink);
+    core->set_filter(expressions::attr<Level>("Severity") >= minimum);
+}
+
+std::uint64_t droppedLines()
+{
+    return droppedLineCount;
+}
+
 void write(Level level, std::string_view event, std::initializer_list<Field> fields)
 {
     boost::json::object line{{"timeMs", wallClockMilliseconds()}, {"level", levelName(level)}, {"program", programName}, {"event", event}};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,6 +76,14 @@
     return context_;
 }
 
+void Gateway::applySettings(const GatewaySettings &settings)
+{
+    context_.settings.drainGrace = settings.drainGrace;
+    context_.settings.repeats = settings.repeats;
+    context_.repeats.setLimits(settings.repeats);
+    Log::write(Log::Level::Info, "settings-in-force", {{"drainGraceMs", std::to_string(settings.drainGrace.count())}});
+}
+
 const GatewayContext &Gateway::context() const
 {
     return context_;
@@ -188,6 +196,7 @@
     context_.load.expirePeers(now);
     context_.metrics.setGauge("lentillock_caller_channels", static_cast<double>(callers_.size()));
     context_.metrics.setGauge("lentillock_endpoint_channels_opened", static_cast<double>(context_.channels.openedCount()));
+    context_.metrics.setGauge("lentillock_log_lines_dropped", static_cast<double>(Log::droppedLines()));
     context_.metrics.setGauge("lentillock_peer_vms", static_cast<double>(context_.load.peerCount()));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,9 @@
     /// Takes a version of the serving document into force, unless a newer one already is.
     void applyPlan(const ServingPlanPointer &plan);
 
+    /// Takes the settings into force that may change while the process runs: the drain grace and the budget of repeated sends.
+    void applySettings(const GatewaySettings &settings);
+
     [[nodiscard]] GatewayContext &context();
     [[nodiscard]] const GatewayContext &context() const;
     [[nodiscard]] PeerExchange &peers();
--- a/src/gateway/repeatbudget.cpp
+++ b/src/gateway/repeatbudget.cpp
@@ -25,6 +25,11 @@
 {
 }
 
+void RepeatBudget::setLimits(RepeatBudgetSettings settings)
+{
+    settings_ = settings;
+}
+
 void RepeatBudget::noteRequest(const std::string &service, TimePoint now)
 {
     currentUsage(service, now).requests.push_back(now);
--- a/src/gateway/repeatbudget.h
+++ b/src/gateway/repeatbudget.h
@@ -22,6 +22,9 @@
 public:
     explicit RepeatBudget(RepeatBudgetSettings settings);
 
+    /// What has been used counts against the new limits.
+    void setLimits(RepeatBudgetSettings settings);
+
     void noteRequest(const std::string &service, TimePoint now);
 
     /// Takes one repeat if the share of one of @p vms VMs still holds one.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -41,6 +41,9 @@
 constexpr double HoldPart = 1.2;
 constexpr Duration HoldCheckPeriod = 20ms;
 
+/// A process that has just started knows the document and the endpoints after some tens of milliseconds; requests wait that long for them.
+constexpr Duration StartWait = 300ms;
+
 /// Pause after which a caller that was refused may come back.
 constexpr milliseconds RefusalPause{300};
 
@@ -90,7 +93,6 @@
     , sink_(sink)
     , request_(std::move(request))
     , caller_(context.wire.callerHead(request_.head))
-    , plan_(context.plan)
 {
 }
 
@@ -102,8 +104,25 @@
 
 void RequestExchange::start()
 {
-    const TimePoint now = clockNow();
     context_.metrics.increment("lentillock_requests_total");
+    admitWhenReady(clockNow());
+}
+
+void RequestExchange::admitWhenReady(TimePoint now)
+{
+    if (finished_) {
+        return;
+    }
+    const bool isReady = context_.plan && !context_.directory.all().empty();
+    if (!isReady && now - request_.receivedAt < StartWait) {
+        context_.timers.subscribeOnce(now + HoldCheckPeriod, [weak = weak_from_this()](TimePoint due) {
+            if (const auto self = weak.lock()) {
+                self->admitWhenReady(due);
+            }
+        });
+        return;
+    }
+    plan_ = context_.plan;
     if (admit(now)) {
         send(now);
     }
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -56,6 +56,7 @@
         bool resumed = false;
     };
 
+    void admitWhenReady(TimePoint now);
     bool admit(TimePoint now);
     void send(TimePoint now);
     bool hold(const Placement &placement, TimePoint now);
