--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -13,6 +13,9 @@
 /// Live endpoints list themselves again within about two seconds of the platform's return.
 constexpr Duration ReturnGrace = 2200ms;
 
+/// Endpoints that have left, of which a record that was written before they left may still arrive.
+constexpr std::size_t MaxDeparted = 10000;
+
 }
 
 bool EndpointRecord::isSameIncarnation(const EndpointRecord &other) const
@@ -67,6 +70,10 @@
 
 void EndpointDirectory::put(const EndpointRecord &record)
 {
+    if (isStale(record)) {
+        ++staleRecords_;
+        return;
+    }
     lapsed_.erase(record.id);
     EndpointRecord &known = records_[record.id];
     if (known != record) {
@@ -78,8 +85,29 @@
     }
 }
 
+bool EndpointDirectory::isStale(const EndpointRecord &record) const
+{
+    const auto isOutdatedBy = [&record](const std::map<EndpointId, EndpointRecord> &records) {
+        const auto found = records.find(record.id);
+        if (found == records.end()) {
+            return false;
+        }
+        const EndpointRecord &known = found->second;
+        const bool isReadyAgain = known.isLeaving && !record.isLeaving && record.isSameIncarnation(known);
+        return isReadyAgain || (record.startedAtMs != 0 && record.startedAtMs < known.startedAtMs);
+    };
+    return isOutdatedBy(records_) || isOutdatedBy(departed_);
+}
+
 void EndpointDirectory::remove(const EndpointId &id, TimePoint now)
 {
+    const auto known = records_.find(id);
+    if (known != records_.end() && known->second.isLeaving) {
+        departed_.insert_or_assign(id, known->second);
+        if (departed_.size() > MaxDeparted) {
+            departed_.erase(departed_.begin());
+        }
+    }
     if (now < removalsDeferredUntil_) {
         lapsed_.emplace(id, removalsDeferredUntil_);
         return;
@@ -131,6 +159,11 @@
     return digest_;
 }
 
+std::uint64_t EndpointDirectory::staleRecords() const
+{
+    return staleRecords_;
+}
+
 std::uint64_t EndpointDirectory::revision() const
 {
     return revision_;
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -64,17 +64,25 @@
     /// Equal on all VMs that know the same records.
     [[nodiscard]] std::uint32_t digest() const;
 
+    /// Records that were ignored because a newer one was known.
+    [[nodiscard]] std::uint64_t staleRecords() const;
+
     /// Rises with each change of the set or of a record.
     [[nodiscard]] std::uint64_t revision() const;
 
 private:
     void put(const EndpointRecord &record);
+
+    /// Whether the record was written before one that is known: an endpoint that leaves does not become ready again.
+    [[nodiscard]] bool isStale(const EndpointRecord &record) const;
     void remove(const EndpointId &id, TimePoint now);
 
     std::map<EndpointId, EndpointRecord> records_;
     std::map<EndpointId, TimePoint> lapsed_; ///< Removed by the platform but still used, with the time at which they go.
     TimePoint removalsDeferredUntil_{};
+    std::map<EndpointId, EndpointRecord> departed_; ///< Endpoints that were leaving when they were removed.
     std::vector<EndpointId> replaced_;
+    std::uint64_t staleRecords_ = 0;
     std::uint64_t revision_ = 0;
     mutable std::uint32_t digest_ = 0; ///< Of digestRevision_.
     mutable std::uint64_t digestRevision_ = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,7 +19,7 @@
 /// Longest sleep of the event loop.
 constexpr Duration MaxWait = 1s;
 
-constexpr Duration MaintenancePeriod = 500ms;
+constexpr Duration MaintenancePeriod = 250ms;
 
 /// The load balancer stops sending new channels after two missed readiness checks, one a second.
 constexpr Duration DrainAcceptTime = 3500ms;
@@ -58,7 +58,7 @@
         context_.timers.advance(now);
         peers_.scheduleReport(now);
     }
-    Log::write(Log::Level::Info, "stopped", {{"openCallers", std::to_string(callers_.size())}});
+    Log::write(Log::Level::Info, "stopped", {{"staleEndpointRecords", std::to_string(context_.directory.staleRecords())}, {"openCallers", std::to_string(callers_.size())}});
 }
 
 void Gateway::applyPlan(const ServingPlanPointer &plan)
@@ -196,6 +196,7 @@
     context_.load.expirePeers(now);
     context_.metrics.setGauge("lentillock_caller_channels", static_cast<double>(callers_.size()));
     context_.metrics.setGauge("lentillock_endpoint_channels_opened", static_cast<double>(context_.channels.openedCount()));
+    context_.metrics.setGauge("lentillock_stale_endpoint_records", static_cast<double>(context_.directory.staleRecords()));
     context_.metrics.setGauge("lentillock_log_lines_dropped", static_cast<double>(Log::droppedLines()));
     context_.metrics.setGauge("lentillock_peer_vms", static_cast<double>(context_.load.peerCount()));
 }
