--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -53,7 +53,7 @@
 constexpr double LongMinimumPart = 0.2;
 
 /// Cost of putting a short request on an endpoint that reads long prompts.
-constexpr double SpillCost = 0.2;
+constexpr double SpillCost = 0.05;
 
 /// Expected first event of a short request, in parts of its objective, beyond which it is refused, and when it may come back.
 constexpr double ShortRefusalPart = 1.2;
@@ -67,7 +67,7 @@
 /// The same for requests with long prompts, whose pauses may be longer, and what one of them is worth.
 constexpr double LongHarmlessReadMs = 500;
 constexpr double LongHarmfulReadMs = 400;
-constexpr double LongWriterWorth = 8;
+constexpr double LongWriterWorth = 14;
 
 /// Pause objective below which the reading of long prompts beside it makes a stream late.
 constexpr double TightPauseMs = 800;
@@ -77,13 +77,13 @@
 constexpr double ReadingPrice = 3;
 
 /// Waiting that a fleet in full use stands for, though nothing waits at this moment: what arrives next will.
-constexpr double CrowdingMs = 1300;
+constexpr double CrowdingMs = 1600;
 
 /// Part of the worth that is lost when the first event comes after the objective.
 constexpr double LateLoss = 0.75;
 
 /// The larger a prompt, the less may wait to be read before it: this product is divided by its reading time.
-constexpr double AllowedStartMsSquared = 600'000;
+constexpr double AllowedStartMsSquared = 1'200'000;
 
 /// The endpoint itself and the helpers that one request may name.
 constexpr std::size_t MaxReaders = 17;
