--- a/src/gateway/callerchannel.cpp
+++ b/src/gateway/callerchannel.cpp
@@ -106,8 +106,13 @@
     case HttpReadState::Malformed:
         rejectMalformed();
         break;
-    case HttpReadState::Head:
     case HttpReadState::Body:
+        if (!continued_ && sameFieldName(fieldValue(reader_.head(), "Expect"), "100-continue")) {
+            continued_ = true;
+            write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        [[fallthrough]];
+    case HttpReadState::Head:
         if (!headTimed_) {
             headTimed_ = true;
             armIdleTimer();
@@ -122,8 +127,7 @@
 {
     context_.timers.cancel(idleTimer_);
     requestKeepsAlive_ = reader_.head().keepAlive;
-    exchange_ = std::make_shared<RequestExchange>(
-        context_, *this, CallerRequest{.head = reader_.head(), .body = reader_.takeBody(), .receivedAt = clockNow()});
+    exchange_ = std::make_shared<RequestExchange>(context_, *this, CallerRequest{.head = reader_.head(), .body = reader_.takeBody(), .receivedAt = clockNow()});
     const auto exchange = exchange_;
     exchange->start();
 }
@@ -166,7 +170,10 @@
 void CallerChannel::answer(const HttpHead &head, std::string body)
 {
     std::string text = headText(head);
-    appendField(text, "Content-Length", std::to_string(body.size()));
+    // The answer to HEAD states the length of the body that it does not have.
+    const bool isHead = reader_.state() == HttpReadState::Finished && reader_.head().method == "HEAD";
+    const std::string_view stated = isHead ? fieldValue(head, "Content-Length") : std::string_view();
+    appendField(text, "Content-Length", stated.empty() ? std::to_string(body.size()) : std::string(stated));
     write(text + "\r\n" + body);
     exchangeEnded();
 }
@@ -210,6 +217,7 @@
             return;
         }
         self->headTimed_ = false;
+        self->continued_ = false;
         self->armIdleTimer();
         self->reader_.next();
         self->process();
--- a/src/gateway/callerchannel.h
+++ b/src/gateway/callerchannel.h
@@ -64,6 +64,7 @@
     bool closed_ = false;
     bool requestKeepsAlive_ = true;
     bool headTimed_ = false;
+    bool continued_ = false; ///< The caller has been told to send the body.
 };
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,7 +58,9 @@
         context_.timers.advance(now);
         peers_.scheduleReport(now);
     }
-    Log::write(Log::Level::Info, "stopped", {{"staleEndpointRecords", std::to_string(context_.directory.staleRecords())}, {"openCallers", std::to_string(callers_.size())}});
+    Log::write(Log::Level::Info,
+               "stopped",
+               {{"staleEndpointRecords", std::to_string(context_.directory.staleRecords())}, {"openCallers", std::to_string(callers_.size())}});
 }
 
 void Gateway::applyPlan(const ServingPlanPointer &plan)
--- a/src/gateway/httpchannel.cpp
+++ b/src/gateway/httpchannel.cpp
@@ -75,6 +75,9 @@
     active_ = true;
     headSeen_ = false;
     skipping_ = false;
+    if (request_.starts_with("HEAD ")) {
+        reader_.expectNoBody();
+    }
     if (connected_) {
         write();
     } else {
@@ -168,8 +171,7 @@
             }
             return;
         }
-        if (error == boost::asio::error::eof && self->active_ && self->headSeen_ && !self->skipping_
-            && self->reader_.feedEnd() == HttpReadState::Finished) {
+        if (error == boost::asio::error::eof && self->active_ && self->headSeen_ && !self->skipping_ && self->reader_.feedEnd() == HttpReadState::Finished) {
             self->process();
             return;
         }
--- a/src/gateway/httpreader.cpp
+++ b/src/gateway/httpreader.cpp
@@ -15,6 +15,12 @@
     reset();
 }
 
+template<bool IsRequest>
+void HttpReader<IsRequest>::expectNoBody()
+{
+    parser_->skip(true);
+}
+
 template<bool IsRequest>
 HttpReadState HttpReader<IsRequest>::feed(std::string_view bytes)
 {
--- a/src/gateway/httpreader.h
+++ b/src/gateway/httpreader.h
@@ -96,6 +96,9 @@
 public:
     explicit HttpReader(HttpReadLimits limits);
 
+    /// The next message has a head only, whatever its fields say (an answer to HEAD). Call before its first byte.
+    void expectNoBody();
+
     /// Adds bytes and parses as far as possible.
     HttpReadState feed(std::string_view bytes);
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -188,11 +188,8 @@
 };
 
 /// The best placement of a long prompt on the first of @p order, each endpoint reading an equal part.
-CostedPlacement placeLongOn(const EngineModel &engine,
-                            const std::vector<const PlacementCandidate *> &order,
-                            const PlacementRequest &request,
-                            double pauseRisk,
-                            double expectedWriters)
+CostedPlacement placeLongOn(
+    const EngineModel &engine, const std::vector<const PlacementCandidate *> &order, const PlacementRequest &request, double pauseRisk, double expectedWriters)
 {
     const double readMs = engine.readMs(request.promptTokens);
     const double worth = std::pow(request.promptTokens / UnitWorthTokens, WorthExponent);
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -643,8 +643,7 @@
         head.fields.emplace_back("Retry-After", seconds.data());
     }
     const bool notRun = status != 502 && status != 504;
-    const boost::json::object error{
-        {"code", code}, {"message", message}, {"requestId", caller_.id.value()}, {"runState", notRun ? "was-not-run" : "unknown"}};
+    const boost::json::object error{{"code", code}, {"message", message}, {"requestId", caller_.id.value()}, {"runState", notRun ? "was-not-run" : "unknown"}};
     sink_.answer(head, boost::json::serialize(boost::json::object{{"error", error}}));
     finish(code);
 }
--- a/src/gateway/servingplan.cpp
+++ b/src/gateway/servingplan.cpp
@@ -33,9 +33,8 @@
         routes.push_back(std::move(route));
     }
     for (auto &[host, routes] : routesByHost_) {
-        std::stable_sort(routes.begin(), routes.end(), [](const RouteEntry &left, const RouteEntry &right) {
-            return left.pathPrefix.size() > right.pathPrefix.size();
-        });
+        std::stable_sort(
+            routes.begin(), routes.end(), [](const RouteEntry &left, const RouteEntry &right) { return left.pathPrefix.size() > right.pathPrefix.size(); });
     }
     for (ServiceEntry &service : parts.services) {
         std::string name = service.name;
@@ -93,7 +92,8 @@
 
 std::size_t ServingPlan::routeCount() const
 {
-    return std::accumulate(routesByHost_.begin(), routesByHost_.end(), std::size_t{0}, [](std::size_t sum, const auto &host) { return sum + host.second.size(); });
+    return std::accumulate(
+        routesByHost_.begin(), routesByHost_.end(), std::size_t{0}, [](std::size_t sum, const auto &host) { return sum + host.second.size(); });
 }
 
 }
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -67,7 +67,11 @@
 // Another writer may leave anything under a key; it names no endpoint, and the others hold.
 TEST(RecordsTest, Endpoint_IsWrittenByAnother_IsIgnoredWithFinding)
 {
-    for (const char *text : {"", "\x01\x02", "7", "{}", R"({"service":1,"address":"a:1","zone":"z","state":"ready"})",
+    for (const char *text : {"",
+                             "\x01\x02",
+                             "7",
+                             "{}",
+                             R"({"service":1,"address":"a:1","zone":"z","state":"ready"})",
                              R"({"service":"s","address":"a:1","zone":"z","state":"resting"})"}) {
         Findings findings;
         EXPECT_FALSE(decodeEndpoint("i-1", text, findings).has_value()) << text;
@@ -126,8 +130,13 @@
     EXPECT_TRUE(text.starts_with("POST /a/1?x=y HTTP/1.1\r\n"));
     EXPECT_EQ(text.find("secret"), std::string::npos);
     EXPECT_EQ(text.find("forged"), std::string::npos);
-    for (const char *field : {"X-Tenant: w\r\n", "X-Deadline-Ms: 800\r\n", "X-Expect-Instance: i-1\r\n", "X-Helpers: 10.0.0.1:80/t1,10.0.0.2:80\r\n",
-                              "X-Model: m\r\n", "X-Request-Id: q\r\n", "Content-Length: 4\r\n"}) {
+    for (const char *field : {"X-Tenant: w\r\n",
+                              "X-Deadline-Ms: 800\r\n",
+                              "X-Expect-Instance: i-1\r\n",
+                              "X-Helpers: 10.0.0.1:80/t1,10.0.0.2:80\r\n",
+                              "X-Model: m\r\n",
+                              "X-Request-Id: q\r\n",
+                              "Content-Length: 4\r\n"}) {
         EXPECT_NE(text.find(field), std::string::npos) << field;
     }
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
--- a/tests/docs/checkcommands.py
+++ b/tests/docs/checkcommands.py
@@ -3,7 +3,7 @@
 
 Usage: checkcommands.py BINARIES [ROOT]
 
-BINARIES is a directory that contains the three programs, directly or as in the build tree (cli/, entry/, control/). ROOT is the source tree.
+BINARIES is a directory that contains the programs, directly or as in the build tree (cli/, entry/, control/, ../platform/). ROOT is the source tree.
 Guards against pages whose commands are refused or whose metrics never appear when people on call need them.
 Prints FILE:LINE: MESSAGE for each problem. Exit status: 0 no problems, 1 problems, 2 wrong usage, 3 a program cannot be run.
 """
@@ -14,7 +14,7 @@
 import subprocess
 import sys
 
-PROGRAMS = {"lentillock": "cli", "lentillock-entry": "entry", "lentillock-control": "control"}
+PROGRAMS = {"lentillock": "cli", "lentillock-entry": "entry", "lentillock-control": "control", "lentillock-gateway": "../platform"}
 OPTION = re.compile(r"--[a-z][a-z-]*")
 METRIC = re.compile(r"\blentillock_[a-z0-9_]+")
 SHELL_OPERATORS = re.compile(r"[|;&<>()]+")
@@ -129,7 +129,7 @@
         print(f"error: {error}", file=sys.stderr)
         return 3
     metrics = set()
-    for source in (root / "src").rglob("*"):
+    for source in [*(root / "src").rglob("*"), *(root / "platform").rglob("*")]:
         if source.suffix in (".cpp", ".h"):
             metrics.update(METRIC.findall(source.read_text(encoding="utf-8")))
     count = 0
--- a/tests/gateway/httpreadertest.cpp
+++ b/tests/gateway/httpreadertest.cpp
@@ -79,6 +79,13 @@
     EXPECT_EQ(answers_.takeBody(), "abc");
 }
 
+// The answer to HEAD states a length without a body; waiting for the body would time out.
+TEST_F(HttpReaderTest, Answer_BelongsToHead_IsFinishedAfterItsHead)
+{
+    answers_.expectNoBody();
+    EXPECT_EQ(answers_.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"), HttpReadState::Finished);
+}
+
 TEST_F(HttpReaderTest, Answer_IsCutInsideBody_IsMalformed)
 {
     answers_.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
--- a/tests/gateway/nextsteptest.cpp
+++ b/tests/gateway/nextsteptest.cpp
@@ -12,8 +12,8 @@
 SendFacts anyFacts()
 {
     SendFacts facts;
-    facts.outcome = *rc::gen::element(
-        SendOutcome::Full, SendOutcome::Replaced, SendOutcome::NotConnected, SendOutcome::Broken, SendOutcome::Silent, SendOutcome::Failed);
+    facts.outcome
+        = *rc::gen::element(SendOutcome::Full, SendOutcome::Replaced, SendOutcome::NotConnected, SendOutcome::Broken, SendOutcome::Silent, SendOutcome::Failed);
     facts.mayRepeat = *rc::gen::arbitrary<bool>();
     facts.mayHaveRun = *rc::gen::arbitrary<bool>();
     facts.runs = facts.mayHaveRun ? *rc::gen::inRange(1, 4) : 0;
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,285 @@
+"""Stand-ins of the platform's store and of its endpoints, and a loopback proxy that disturbs channels."""
+
+import asyncio
+import base64
+import json
+import random
+import struct
+import time
+import urllib.parse
+
+READ_LIMIT = 1 << 20
+
+
+async def read_message(reader):
+    """Reads one HTTP message. Returns its start line, fields in lower case and body, or nothing at the end of the channel."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        name, separator, value = line.partition(":")
+        if separator:
+            fields[name.strip().lower()] = value.strip()
+    length = int(fields.get("content-length", 0))
+    try:
+        body = await reader.readexactly(length) if length else b""
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return lines[0], fields, body
+
+
+def answer(status, body=b"", fields=None, reason="X"):
+    text = f"HTTP/1.1 {status} {reason}\r\nContent-Length: {len(body)}\r\n"
+    for name, value in (fields or {}).items():
+        text += f"{name}: {value}\r\n"
+    return text.encode() + b"\r\n" + body
+
+
+class Server:
+    """Accepts channels on a loopback port that the kernel chooses."""
+
+    def __init__(self):
+        self.port = 0
+        self.server = None
+        self.writers = set()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.port, limit=READ_LIMIT)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve(self, reader, writer):
+        raise NotImplementedError
+
+    def stop(self):
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store(Server):
+    """Keyed topics of the platform's store: newest records, reads that wait, appends."""
+
+    def __init__(self):
+        super().__init__()
+        self.topics = {}
+        self.changed = asyncio.Condition()
+        self.down = None  # None, "busy", "reset" or "silent"
+        self.lose_answers = 0.0
+        self.random = random.Random(1)
+
+    def put(self, topic, key, value):
+        """Appends a record; a value of None drops the key."""
+        records = self.topics.setdefault(topic, [])
+        records.append((key, value))
+        asyncio.ensure_future(self.notify())
+        return len(records) - 1
+
+    async def notify(self):
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def serve(self, reader, writer):
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return
+            if self.down == "silent":
+                await asyncio.sleep(3600)
+            if self.down == "reset":
+                writer.transport.abort()
+                return
+            if self.down == "busy":
+                writer.write(answer(503))
+                await writer.drain()
+                continue
+            result = await self.handle(*message)
+            if self.down or self.random.random() < self.lose_answers:
+                writer.transport.abort()
+                return
+            writer.write(result)
+            await writer.drain()
+
+    async def handle(self, start, _fields, body):
+        url = urllib.parse.urlsplit(start.split(" ")[1])
+        query = dict(urllib.parse.parse_qsl(url.query))
+        topic = query.get("topic", "")
+        records = self.topics.setdefault(topic, [])
+        if url.path.endswith("log-newest"):
+            newest = {}
+            for offset, (key, value) in enumerate(records):
+                newest[key] = (offset, value)
+            items = [
+                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                for key, (offset, value) in sorted(newest.items()) if value is not None
+            ]
+            return answer(200, json.dumps({"items": items, "has_more": False, "end": len(records)}).encode())
+        if url.path.endswith("log-read"):
+            first = int(query["from"])
+            deadline = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+            while len(records) <= first and time.monotonic() < deadline:
+                async with self.changed:
+                    try:
+                        await asyncio.wait_for(self.changed.wait(), deadline - time.monotonic())
+                    except asyncio.TimeoutError:
+                        break
+            text = struct.pack(">QQ", len(records), 0)
+            for key, value in records[first:]:
+                content = bytes([len(key)]) + key.encode() + (value or b"")
+                text += struct.pack(">I", len(content)) + content
+            return answer(200, text)
+        if url.path.endswith("log-append"):
+            length = struct.unpack(">I", body[:4])[0]
+            content = body[4:4 + length]
+            key = content[1:1 + content[0]].decode()
+            offset = self.put(topic, key, content[1 + content[0]:] or None)
+            return answer(200, json.dumps({"offset": offset, "end": offset + 1}).encode())
+        return answer(404)
+
+
+def expected_body(request_id):
+    return f"answer to {request_id}".encode()
+
+
+def expected_event(request_id, number):
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+class Endpoint(Server):
+    """Runs requests as the platform's workers do, and records which ones arrived and ran."""
+
+    EVENTS = 8
+    EVENT_PAUSE = 0.03
+
+    def __init__(self, identity, service, journal, seed):
+        super().__init__()
+        self.identity = identity
+        self.service = service
+        self.journal = journal
+        self.random = random.Random(seed)
+        self.fault = None  # None, "hang", "lose", "cut", "error", "full", "extra"
+        self.fault_share = 0.5
+
+    async def serve(self, reader, writer):
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return
+            start, fields, _body = message
+            request_id = fields.get("x-request-id", "")
+            if fields.get("x-expect-instance") not in (None, self.identity):
+                writer.write(answer(421, fields={"X-Instance-Id": self.identity, "X-Request-Id": request_id}))
+                await writer.drain()
+                continue
+            self.journal.arrived(self, request_id, start, fields)
+            fault = self.fault if self.fault and self.random.random() < self.fault_share else None
+            if fault == "full":
+                writer.write(answer(503, fields={"X-Not-Executed": "1", "X-Request-Id": request_id}))
+                await writer.drain()
+                continue
+            self.journal.ran(self, request_id)
+            if not await self.run(start, fields, request_id, fault, writer):
+                return
+
+    async def run(self, start, fields, request_id, fault, writer):
+        stamp = {"X-Request-Id": request_id, "X-Server-Stamp": f"stamp.{self.identity}"}
+        if fault == "hang":
+            await asyncio.sleep(30)
+        if fault == "lose":
+            writer.transport.abort()
+            return False
+        if fault == "error":
+            writer.write(answer(500, b"failed", stamp))
+            await writer.drain()
+            return True
+        if "/stream/" in start:
+            return await self.stream(fields, request_id, stamp, fault, writer)
+        await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        body = expected_body(request_id)
+        text = answer(200, body, stamp)
+        if fault == "cut":
+            writer.write(text[:-3])
+            await writer.drain()
+            return False
+        writer.write(text)
+        if fault == "extra":
+            writer.write(answer(200, b"another answer", {"X-Request-Id": "nobody", "X-Server-Stamp": "x"}))
+        await writer.drain()
+        return True
+
+    async def stream(self, fields, request_id, stamp, fault, writer):
+        text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        for name, value in stamp.items():
+            text += f"{name}: {value}\r\n"
+        writer.write(text.encode() + b"\r\n")
+        first = int(fields.get("last-event-id", -1)) + 1
+        stop = self.random.randrange(self.EVENTS) if fault == "cut" else None
+        for number in range(first, self.EVENTS):
+            await asyncio.sleep(self.EVENT_PAUSE)
+            event = expected_event(request_id, number)
+            if number == stop:
+                event = event[:len(event) // 2]
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            if number == stop:
+                writer.transport.abort()
+                return False
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+class Proxy(Server):
+    """Passes bytes on to a server. Can delay them, silence them one way or both ways, and reset its channels."""
+
+    def __init__(self, target_port):
+        super().__init__()
+        self.target_port = target_port
+        self.delay = 0.0
+        self.silent_forward = False
+        self.silent_back = False
+
+    async def serve(self, reader, writer):
+        target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port, limit=READ_LIMIT)
+        self.writers.add(target_writer)
+        try:
+            await asyncio.gather(
+                self.pump(reader, target_writer, "silent_forward"), self.pump(target_reader, writer, "silent_back"))
+        finally:
+            self.writers.discard(target_writer)
+            target_writer.close()
+
+    async def pump(self, reader, writer, silenced):
+        while True:
+            data = await reader.read(65536)
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            # A channel that has been silent stays so; only new channels work again.
+            while getattr(self, silenced):
+                await asyncio.sleep(3600)
+            if not data:
+                writer.close()
+                return
+            writer.write(data)
+            await writer.drain()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
