RequestExchange: Let a long prompt wait an eighth of its objective before it is refused

Cause: the use of the fleet changes within half a second, and prompts that arrived in a busy moment were refused at once.

--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -39,6 +39,9 @@
 
 /// Part of the latency objective for which a long prompt is held while its endpoints read other prompts.
 constexpr double HoldPart = 1.2;
+/// Part of it for which a long prompt that the fleet is too busy for waits for that to change, before it is refused.
+constexpr double RefusalHoldPart = 0.12;
+
 constexpr Duration HoldCheckPeriod = 20ms;
 
 /// A process that has just started knows the document and the endpoints after some tens of milliseconds; requests wait that long for them.
@@ -288,8 +291,11 @@
 
 bool RequestExchange::hold(const Placement &placement, TimePoint now)
 {
-    const auto limit = std::chrono::duration_cast<Duration>(route_->latencyObjective * HoldPart);
-    if (placement.startMs <= placement.allowedStartMs || now - request_.receivedAt >= limit || facts_.sends > 0) {
+    const bool isTooEarly = placement.startMs > placement.allowedStartMs;
+    const bool mayBecomeWorthwhile = placement.isRefused && placement.isLong;
+    const double part = mayBecomeWorthwhile ? RefusalHoldPart : HoldPart;
+    const auto limit = std::chrono::duration_cast<Duration>(route_->latencyObjective * part);
+    if (!(isTooEarly || mayBecomeWorthwhile) || now - request_.receivedAt >= limit || facts_.sends > 0) {
         return false;
     }
     if (!std::exchange(held_, true)) {
