--- a/src/gateway/fleetload.cpp
+++ b/src/gateway/fleetload.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Lentillock
 {
@@ -60,6 +61,7 @@
     items_.emplace(ticket, Item{.endpoint = endpoint, .work = item, .startedAt = now});
     ticketsByEndpoint_[endpoint].push_back(ticket);
     ++revision_;
+    longStarted_ = longStarted_ || item.role == WorkRole::LongPrompt;
     if (item.role == WorkRole::ShortPrompt) {
         shortDemand_ = ownShortDemand(now) + item.answerMs / DemandWindowMs;
         shortDemandAt_ = now;
@@ -174,6 +176,16 @@
     return revision_;
 }
 
+bool FleetLoad::hasLongStarted() const
+{
+    return longStarted_;
+}
+
+bool FleetLoad::takeLongStarted()
+{
+    return std::exchange(longStarted_, false);
+}
+
 std::size_t FleetLoad::peerCount() const
 {
     return peers_.size();
--- a/src/gateway/fleetload.h
+++ b/src/gateway/fleetload.h
@@ -83,6 +83,10 @@
     /// Rises with each change of this VM's own work.
     [[nodiscard]] std::uint64_t ownRevision() const;
 
+    /// Whether a long prompt has been started that the other VMs have to know of at once.
+    [[nodiscard]] bool hasLongStarted() const;
+    bool takeLongStarted();
+
     /// VMs whose reports are in use.
     [[nodiscard]] std::size_t peerCount() const;
 
@@ -106,6 +110,7 @@
     double shortDemand_ = 0; ///< As of shortDemandAt_.
     TimePoint shortDemandAt_{};
     std::uint64_t revision_ = 0;
+    bool longStarted_ = false;
 };
 
 }
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -59,7 +59,11 @@
 
 void PeerExchange::scheduleReport(TimePoint now)
 {
-    if (scheduled_ || context_.load.ownRevision() == reportedRevision_) {
+    if (context_.load.ownRevision() == reportedRevision_ || (scheduled_ && !context_.load.hasLongStarted())) {
+        return;
+    }
+    if (context_.load.takeLongStarted()) {
+        report(now, false);
         return;
     }
     scheduled_ = true;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -31,9 +31,13 @@
 /// Reading in one part that is avoided as long as there are endpoints to share it: everything else at the endpoint waits for it.
 constexpr double LongestPartMs = 700;
 
-/// Makes all VMs fill the endpoints in the same order.
+/// Makes all VMs use further endpoints for short requests in the same order.
 constexpr double OrderCost = 0.004;
 
+/// Spreads requests that are placed on several VMs at the same moment, before the VMs know of each other's.
+constexpr double SpreadCost = 0.03;
+constexpr double SpreadReadMs = 40;
+
 /// Slope that prefers an earlier first event among places that all meet the objective.
 constexpr double EarlinessCost = 0.05;
 
@@ -106,6 +110,12 @@
     return longWriters * LongWriterWorth * std::clamp((passMs - LongHarmlessReadMs) / LongHarmfulReadMs, 0.0, 1.0);
 }
 
+/// A number in 0 to 1 by which requests that see the same loads choose different endpoints.
+double spread(const PlacementCandidate &candidate, std::uint64_t seed)
+{
+    return static_cast<double>(stableHash(candidate.endpoint->id.value(), seed) % 1000) / 1000;
+}
+
 double placeCost(const PlacementCandidate &candidate)
 {
     return (candidate.isSuspended ? ForbiddenCost : 0) + candidate.failureShare * 2;
@@ -138,7 +148,8 @@
         const double excess = std::max(0.0, load.requests + 1 - engine.slots);
         const double slotMs = excess * engine.answerMs(engine.usualAnswerTokens) / engine.slots;
         const double firstEventMs = (load.remainingReadMs() + readMs + slotMs) * candidate.pace + 1.5 * passMs;
-        double cost = placeCost(candidate) + OrderCost * static_cast<double>(index) + (index < shortSet ? 0 : SpillCost);
+        double cost = placeCost(candidate) + SpreadCost * spread(candidate, request.seed);
+        cost += index < shortSet ? 0 : SpillCost + OrderCost * static_cast<double>(index);
         cost += lateness(firstEventMs, request.objectiveMs) + EarlinessCost * firstEventMs / request.objectiveMs;
         cost += OverflowCost * excess / engine.slots;
         cost += memory > engine.memoryTokens ? OverflowCost : 0;
@@ -239,9 +250,10 @@
         (index < shortSet ? shortOrder : longOrder).push_back(&candidates[index]);
         longReadMs += index < shortSet ? 0 : candidates[index].load.remainingLongReadMs();
     }
-    const auto byUse = [](const PlacementCandidate *left, const PlacementCandidate *right) {
-        const auto use = [](const PlacementCandidate *candidate) {
-            return candidate->load.remainingReadMs() * candidate->pace + ForbiddenCost * placeCost(*candidate) + candidate->load.shortWriters * 30;
+    const auto byUse = [&request](const PlacementCandidate *left, const PlacementCandidate *right) {
+        const auto use = [&request](const PlacementCandidate *candidate) {
+            return candidate->load.remainingReadMs() * candidate->pace + ForbiddenCost * placeCost(*candidate) + candidate->load.shortWriters * 30
+                + SpreadReadMs * spread(*candidate, request.seed);
         };
         return use(left) < use(right);
     };
@@ -277,8 +289,7 @@
     Placement best;
     double bestCost = 0;
     for (const PlacementCandidate &candidate : candidates) {
-        const double tieBreak = static_cast<double>(stableHash(candidate.endpoint->id.value(), seed) % 1000) / 1000;
-        const double cost = placeCost(candidate) + candidate.load.requests * candidate.pace + (candidate.isLocal ? 0 : 0.5) + 0.4 * tieBreak;
+        const double cost = placeCost(candidate) + candidate.load.requests * candidate.pace + (candidate.isLocal ? 0 : 0.5) + 0.4 * spread(candidate, seed);
         if (best.endpoint == nullptr || cost < bestCost) {
             bestCost = cost;
             best.endpoint = candidate.endpoint;
