--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -35,7 +35,7 @@
 constexpr double OrderCost = 0.004;
 
 /// Spreads requests that are placed on several VMs at the same moment, before the VMs know of each other's.
-constexpr double SpreadCost = 0.03;
+constexpr double SpreadCost = 0.05;
 constexpr double SpreadReadMs = 40;
 
 /// Slope that prefers an earlier first event among places that all meet the objective.
@@ -64,6 +64,10 @@
 constexpr double ShortRetryMinimumMs = 500;
 constexpr std::uint64_t ShortRetrySpreadMs = 2500;
 
+/// The same for a long prompt, whose objective leaves it time to come back.
+constexpr double LongRetryMinimumMs = 400;
+constexpr std::uint64_t LongRetrySpreadMs = 1000;
+
 /// Reading that requests beside it do not notice, and the reading beyond it that makes all of them late, in one pass.
 constexpr double HarmlessReadMs = 100;
 constexpr double HarmfulReadMs = 100;
@@ -277,7 +281,7 @@
         const double gain = worth * (1 - LateLoss * std::min(1.0, lateness(placement.firstEventMs, request.objectiveMs)));
         const double price = ReadingPrice * (waitingMs + crowdingMs) / 1000 * engine.readMs(request.promptTokens) / 1000;
         placement.isRefused = gain < price || placement.firstEventMs > request.timeLeftMs;
-        placement.retryAfterMs = waitingMs;
+        placement.retryAfterMs = std::max(waitingMs, LongRetryMinimumMs + static_cast<double>(request.seed % LongRetrySpreadMs));
     }
     return placement;
 }
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -77,6 +77,8 @@
 class Store(Server):
     """Keyed topics of the platform's store: newest records, reads that wait, appends."""
 
+    PAGE = 3  # Small, so that lists have several pages.
+
     def __init__(self):
         super().__init__()
         self.topics = {}
@@ -130,7 +132,9 @@
                 {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
                 for key, (offset, value) in sorted(newest.items()) if value is not None
             ]
-            return answer(200, json.dumps({"items": items, "has_more": False, "end": len(records)}).encode())
+            rest = [item for item in items if item["key"] > query.get("after", "")]
+            page = rest[:self.PAGE]
+            return answer(200, json.dumps({"items": page, "has_more": len(page) < len(rest), "end": len(records)}).encode())
         if url.path.endswith("log-read"):
             first = int(query["from"])
             deadline = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
