Gateway: Refuse requests late in a drain, and end requests before the process ends

A process that ended with requests in progress crashed, because they referred to parts that were gone. Ruled out: the change of the listening time (callers use open channels).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,9 +60,13 @@
         context_.timers.advance(now);
         peers_.scheduleReport(now);
     }
-    Log::write(Log::Level::Info,
-               "stopped",
-               {{"staleEndpointRecords", std::to_string(context_.directory.staleRecords())}, {"openCallers", std::to_string(callers_.size())}});
+    const std::size_t open = callers_.size();
+    for (const auto &channel : openCallers()) {
+        channel->closeNow();
+    }
+    io_.poll(); // Requests in progress end here, while everything that they refer to exists.
+    Log::write(
+        Log::Level::Info, "stopped", {{"openCallers", std::to_string(open)}, {"staleEndpointRecords", std::to_string(context_.directory.staleRecords())}});
 }
 
 void Gateway::applyPlan(const ServingPlanPointer &plan)
@@ -158,6 +162,7 @@
 {
     Log::write(Log::Level::Info, "draining", {{"openCallers", std::to_string(callers_.size())}});
     context_.draining = true;
+    context_.drainingSince = now;
     context_.timers.subscribeOnce(now + DrainAcceptTime, [this](TimePoint) {
         acceptor_.close();
         closeIdleCallers();
@@ -167,7 +172,7 @@
     context_.timers.subscribeOnce(now + limit, [this](TimePoint) { stopped_ = true; });
 }
 
-void Gateway::closeIdleCallers()
+std::vector<std::shared_ptr<CallerChannel>> Gateway::openCallers() const
 {
     std::vector<std::shared_ptr<CallerChannel>> open;
     for (const auto &[raw, weak] : callers_) {
@@ -175,7 +180,12 @@
             open.push_back(std::move(channel));
         }
     }
-    for (const auto &channel : open) {
+    return open;
+}
+
+void Gateway::closeIdleCallers()
+{
+    for (const auto &channel : openCallers()) {
         channel->closeWhenIdle();
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,7 @@
     void waitForSignal();
     void beginDrain(TimePoint now);
     void closeIdleCallers();
+    [[nodiscard]] std::vector<std::shared_ptr<CallerChannel>> openCallers() const;
     void stopIfDrained();
     void maintain(TimePoint now);
     [[nodiscard]] bool isReady() const;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -57,6 +57,7 @@
     EndpointHealth health;
     RepeatBudget repeats;
     bool draining = false;
+    TimePoint drainingSince{}; ///< Valid while draining.
 };
 
 }
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -47,6 +47,10 @@
 /// A process that has just started knows the document and the endpoints after some tens of milliseconds; requests wait that long for them.
 constexpr Duration StartWait = 300ms;
 
+/// Time after the stop signal in which requests are taken. By then the load balancer has stopped sending callers, and a request that is taken
+/// later might not end within the grace period.
+constexpr Duration DrainAdmitTime = 2500ms;
+
 /// Pause after which a caller that was refused may come back.
 constexpr milliseconds RefusalPause{300};
 
@@ -135,6 +139,10 @@
 {
     const milliseconds timeLeft = caller_.timeLeft.value_or(DefaultTimeLeft);
     deadline_ = request_.receivedAt + timeLeft - CallerMargin;
+    if (context_.draining && now - context_.drainingSince > DrainAdmitTime) {
+        refuse(503, "draining", "this VM is being stopped", std::min(RefusalPause, timeLeft / 3));
+        return false;
+    }
     if (!plan_) {
         refuse(503, "no_configuration", "no serving document is known yet", std::min(RefusalPause, timeLeft / 3));
         return false;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -108,13 +108,13 @@
         self.proxies = {}
         self.version = 1
         self.number = 0
-        self.disturbance_until = 0.0
+        self.route_timeout_ms = int(TIME_LIMIT * 1000)
         self.tail = {"asked": 0, "served": 0}
         self.tail_started = False
 
     def publish(self):
         self.version += self.random.randrange(1, 4)
-        route = {"host": "soak.example", "timeout_ms": int(TIME_LIMIT * 1000), "target_latency_ms": 300, "priority": 1, "service": "desk"}
+        route = {"host": "soak.example", "timeout_ms": self.route_timeout_ms, "target_latency_ms": 300, "priority": 1, "service": "desk"}
         routes = [
             {**route, "name": "once", "path_prefix": "/once/", "kind": "non_idempotent", "max_attempts": 1},
             {**route, "name": "safe", "path_prefix": "/safe/", "kind": "idempotent", "max_attempts": 2},
@@ -167,7 +167,6 @@
         gateway = self.random.choice(self.gateways)
         endpoint = self.random.choice(self.endpoints)
         index = self.gateways.index(gateway)
-        self.disturbance_until = max(self.disturbance_until, time.monotonic() + length + 3)
         print(f"  {time.monotonic() - self.began:6.2f} s {kind} for {length:.1f} s on {gateway.ip} {endpoint.identity}", flush=True)
         if kind in ("kill", "term"):
             if not gateway.busy:
@@ -297,7 +296,7 @@
         length = "" if kind == "safe" else "Content-Length: 5\r\n"
         body = "" if kind == "safe" else "hello"
         writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {request_id}\r\nX-Credential: key\r\n"
-                      f"X-Deadline-Ms: {int(TIME_LIMIT * 1000)}\r\n{length}\r\n{body}").encode())
+                      f"X-Deadline-Ms: {self.route_timeout_ms}\r\n{length}\r\n{body}").encode())
         await writer.drain()
         if kind == "stream":
             return await self.read_stream(reader, request_id)
