--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -190,7 +190,7 @@
             endpoint.fault = None
         elif kind.startswith("proxy-"):
             await self.proxy_fault(kind, length, self.proxies[endpoint])
-        elif kind == "crash":
+        elif kind == "crash" and endpoint.server:
             endpoint.stop()
             self.proxies[endpoint].reset()
             await asyncio.sleep(length)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -70,6 +70,7 @@
     def stop(self):
         if self.server:
             self.server.close()
+            self.server = None
         for writer in list(self.writers):
             writer.transport.abort()
 
