--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -320,7 +320,10 @@
             order.helpers.push_back({.address = helper->address});
         }
     }
-    const std::string helpers = std::to_string(order.helpers.size());
+    std::string helpers;
+    for (const EndpointRecord *helper : send_->placement.helpers) {
+        helpers += (helpers.empty() ? "" : ",") + helper->id.value();
+    }
     Log::write(Log::Level::Info,
                "sent",
                {{"request", caller_.id.value()},
