Placement: Keep medium prompts from pausing other streams

Ruled out: old load reports (first event minus expectation: median 16 ms).

Change: placeShort() counts the streams whose pause grows too long as well.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -177,6 +177,7 @@
         double cost = placeCost(candidate) + SpreadCost * spread(candidate, request.seed);
         cost += index < shortSet ? 0 : SpillCost + OrderCost * static_cast<double>(index);
         cost += lateness(firstEventMs, request.objectiveMs) + EarlinessCost * firstEventMs / request.objectiveMs;
+        cost += harm(load.remainingReadMs() + readMs, load.shortWriters);
         cost += OverflowCost * excess / engine.slots;
         cost += memory > engine.memoryTokens ? OverflowCost : 0;
         if (best.endpoint == nullptr || cost < bestCost) {
--- a/tests/gateway/placementtest.cpp
+++ b/tests/gateway/placementtest.cpp
@@ -66,6 +66,16 @@
     EXPECT_EQ(placeGeneration(engine_, candidates_, shortRequest()).endpoint, candidates_[0].endpoint);
 }
 
+// Half of the short streams that paused too long on quiet-1 of kpecu-lc-grown had a prompt of 120 ms and more read beside them.
+TEST_F(PlacementTest, ShortPrompt_ReadingWouldPauseStreams_GoesWhereNoneGenerate)
+{
+    candidates_[0].load = {.requests = 4, .shortWriters = 4, .memoryTokens = 20000};
+    PlacementRequest request = shortRequest();
+    request.promptTokens = 22000;
+    const Placement placement = placeGeneration(engine_, candidates_, request);
+    EXPECT_NE(placement.endpoint, candidates_[0].endpoint);
+}
+
 // Guards against the queue of late requests after a change from long to short prompts (scale-1 of lakeshore-link).
 TEST_F(PlacementTest, ShortPrompt_WouldBeLateEverywhere_IsRefused)
 {
