Placement: Spread requests while the fleet is not known

No VM knows the others' sends, short prompts go to the first endpoints of a common order, and 266 requests reach five of 45 endpoints; 307 sends are not run, the queues last 1.5 s, and 81 callers leave. Ruled out: endpoints that are down (none was), a slow list (all VMs knew the plan 0.1 s after their start).

Change: until the other VMs have reported (FleetLoad::knowsFleet), requests are spread over all endpoints by their seed.

--- a/src/gateway/fleetload.cpp
+++ b/src/gateway/fleetload.cpp
@@ -21,6 +21,10 @@
 /// Time over which the arrivals of short requests are averaged.
 constexpr double DemandWindowMs = 700;
 
+/// Time in which the VMs report to one that has just been announced, and the part of them whose reports suffice before.
+constexpr Duration ReportsSettleTime = 1s;
+constexpr double HeardPart = 0.7;
+
 }
 
 std::uint32_t endpointHash(const EndpointId &endpoint)
@@ -99,6 +103,23 @@
     }
 }
 
+void FleetLoad::noteListed(std::size_t peers, TimePoint now)
+{
+    listedAt_ = listedAt_.value_or(now);
+    listedPeers_ = peers;
+}
+
+bool FleetLoad::knowsFleet(TimePoint now) const
+{
+    if (!listedAt_ || now - *listedAt_ > ReportsSettleTime) {
+        return listedAt_.has_value();
+    }
+    // VMs without any demand may have just started themselves, and callers may be about to reach all of them at once.
+    const bool haveDemand = totalShortDemand(now) > ownShortDemand(now);
+    const bool areHeard = static_cast<double>(peers_.size()) >= HeardPart * static_cast<double>(listedPeers_);
+    return haveDemand && areHeard;
+}
+
 void FleetLoad::expirePeers(TimePoint now)
 {
     std::erase_if(peers_, [now](const auto &peer) { return now - peer.second.receivedAt > PeerReportLifetime; });
--- a/src/gateway/fleetload.h
+++ b/src/gateway/fleetload.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -69,6 +70,12 @@
     /// Replaces what is known of the VM @p peer.
     void applyPeerReport(const VmId &peer, const std::vector<EndpointLoadReport> &report, double shortDemand, TimePoint now);
 
+    /// The list of VMs has been read; @p peers of them are not this one.
+    void noteListed(std::size_t peers, TimePoint now);
+
+    /// Whether the loads include what the other VMs have sent, as far as reports go. Not so after a start, until they have arrived.
+    [[nodiscard]] bool knowsFleet(TimePoint now) const;
+
     /// Drops reports of VMs that have been silent.
     void expirePeers(TimePoint now);
 
@@ -109,6 +116,8 @@
     Ticket nextTicket_ = 1;
     double shortDemand_ = 0; ///< As of shortDemandAt_.
     TimePoint shortDemandAt_{};
+    std::optional<TimePoint> listedAt_; ///< When the list of VMs was first read.
+    std::size_t listedPeers_ = 0;
     std::uint64_t revision_ = 0;
     bool longStarted_ = false;
 };
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -74,7 +74,7 @@
     });
 }
 
-void PeerExchange::addPeers(const std::vector<PeerVm> &peers)
+void PeerExchange::addPeers(const std::vector<PeerVm> &peers, TimePoint now)
 {
     for (const PeerVm &peer : peers) {
         boost::system::error_code error;
@@ -83,6 +83,7 @@
             peers_[peer.vm].address = udp::endpoint(ip, context_.settings.peerPort);
         }
     }
+    context_.load.noteListed(peers_.size(), now);
 }
 
 void PeerExchange::receive()
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -39,8 +39,8 @@
     /// Tells the other VMs now that this one has read something new.
     void announceView();
 
-    /// Adds VMs to send reports to.
-    void addPeers(const std::vector<PeerVm> &peers);
+    /// Adds the VMs that have been listed; this one reports to them.
+    void addPeers(const std::vector<PeerVm> &peers, TimePoint now);
 
 private:
     void receive();
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -44,6 +44,11 @@
 constexpr double SpreadCost = 0.05;
 constexpr double SpreadReadMs = 40;
 
+/// The same for a VM that does not know what the others have sent. After a loss of all VMs every caller comes back at once, and VMs that
+/// see idle endpoints would all choose the first ones.
+constexpr double UnknownFleetSpreadCost = 0.6;
+constexpr double UnknownFleetSpreadReadMs = 400;
+
 /// Slope that prefers an earlier first event among places that all meet the objective.
 constexpr double EarlinessCost = 0.05;
 
@@ -163,7 +168,8 @@
 Placement placeShort(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
 {
     const double readMs = engine.readMs(request.promptTokens);
-    const std::size_t shortSet = shortSetSize(engine, candidates, request.shortDemand);
+    const std::size_t shortSet = request.isFleetKnown ? shortSetSize(engine, candidates, request.shortDemand) : candidates.size();
+    const double spreadCost = request.isFleetKnown ? SpreadCost : UnknownFleetSpreadCost;
     Placement best;
     double bestCost = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -174,7 +180,7 @@
         const double excess = std::max(0.0, load.requests + 1 - engine.slots);
         const double slotMs = excess * engine.answerMs(engine.usualAnswerTokens) / engine.slots;
         const double firstEventMs = load.remainingReadMs() + readMs + slotMs + PassesToFirstEvent * passMs;
-        double cost = placeCost(candidate) + SpreadCost * spread(candidate, request.seed);
+        double cost = placeCost(candidate) + spreadCost * spread(candidate, request.seed);
         cost += index < shortSet ? 0 : SpillCost + OrderCost * static_cast<double>(index);
         cost += lateness(firstEventMs, request.objectiveMs) + EarlinessCost * firstEventMs / request.objectiveMs;
         cost += harm(load.remainingReadMs() + readMs, load.shortWriters);
@@ -275,10 +281,11 @@
         (index < shortSet ? shortOrder : longOrder).push_back(&candidates[index]);
         longReadMs += index < shortSet ? 0 : candidates[index].load.remainingLongReadMs();
     }
-    const auto byUse = [&request](const PlacementCandidate *left, const PlacementCandidate *right) {
-        const auto use = [&request](const PlacementCandidate *candidate) {
+    const double spreadReadMs = request.isFleetKnown ? SpreadReadMs : UnknownFleetSpreadReadMs;
+    const auto byUse = [&request, spreadReadMs](const PlacementCandidate *left, const PlacementCandidate *right) {
+        const auto use = [&request, spreadReadMs](const PlacementCandidate *candidate) {
             return candidate->load.remainingReadMs() + ForbiddenCost * placeCost(*candidate) + candidate->load.shortWriters * ShortWriterReadMs
-                + SpreadReadMs * spread(*candidate, request.seed);
+                + spreadReadMs * spread(*candidate, request.seed);
         };
         return use(left) < use(right);
     };
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -28,6 +28,7 @@
     double shortDemand = 0; ///< Short requests that will generate at the same time, of all VMs.
     double timeLeftMs = 0; ///< Until the request is given up.
     std::uint64_t seed = 0; ///< Breaks ties.
+    bool isFleetKnown = true; ///< Whether the loads include what other VMs have sent.
 };
 
 /// Where a request goes. Helpers each read an equal part of the prompt.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -203,6 +203,7 @@
     placementRequest.objectiveMs = std::max(1.0, inMilliseconds(route_->latencyObjective - (now - request_.receivedAt)));
     placementRequest.shortDemand = context_.load.totalShortDemand(now);
     placementRequest.timeLeftMs = inMilliseconds(deadline_ - now);
+    placementRequest.isFleetKnown = context_.load.knowsFleet(now);
     placementRequest.pauseMs = inMilliseconds(route_->pauseObjective);
     return placeGeneration(*service_->engine, choices, placementRequest);
 }
--- a/tests/gateway/fleetloadtest.cpp
+++ b/tests/gateway/fleetloadtest.cpp
@@ -53,6 +53,25 @@
     EXPECT_EQ(load.longUnreadMs, 100);
 }
 
+TEST_F(FleetLoadTest, AllVmsStart_NoneHasDemand_FleetIsNotKnownAtOnce)
+{
+    EXPECT_FALSE(load_.knowsFleet(start_));
+    load_.noteListed(1, start_);
+    load_.applyPeerReport(VmId("peer"), {}, 0, start_ + 100ms);
+    EXPECT_FALSE(load_.knowsFleet(start_ + 100ms));
+    EXPECT_TRUE(load_.knowsFleet(start_ + 1100ms));
+}
+
+TEST_F(FleetLoadTest, OneVmStarts_MostOthersReportDemand_FleetIsKnown)
+{
+    load_.noteListed(3, start_);
+    load_.applyPeerReport(VmId("first"), {}, 5, start_ + 10ms);
+    EXPECT_FALSE(load_.knowsFleet(start_ + 10ms));
+    load_.applyPeerReport(VmId("second"), {}, 5, start_ + 20ms);
+    load_.applyPeerReport(VmId("third"), {}, 5, start_ + 20ms);
+    EXPECT_TRUE(load_.knowsFleet(start_ + 20ms));
+}
+
 // The work of a VM that died must not hold endpoints back for long.
 TEST_F(FleetLoadTest, Peer_IsSilent_ItsLoadExpires)
 {
--- a/tests/gateway/placementtest.cpp
+++ b/tests/gateway/placementtest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <numeric>
 #include <set>
 
@@ -76,6 +77,21 @@
     EXPECT_NE(placement.endpoint, candidates_[0].endpoint);
 }
 
+// After the loss of all VMs (trouble-3 of lakeshore-link-grown) 266 requests reached five of 45 endpoints within 100 ms.
+TEST_F(PlacementTest, FleetIsNotKnown_CallersComeBack_AreSpread)
+{
+    std::map<const EndpointRecord *, int> uses;
+    PlacementRequest request = shortRequest();
+    request.isFleetKnown = false;
+    for (request.seed = 0; request.seed < 280; ++request.seed) {
+        ++uses[placeGeneration(engine_, candidates_, request).endpoint];
+    }
+    EXPECT_EQ(uses.size(), candidates_.size());
+    for (const auto &[endpoint, count] : uses) {
+        EXPECT_LE(count, 40) << endpoint->id.value();
+    }
+}
+
 // Guards against the queue of late requests after a change from long to short prompts (scale-1 of lakeshore-link).
 TEST_F(PlacementTest, ShortPrompt_WouldBeLateEverywhere_IsRefused)
 {
