Placement: Refuse short requests by their objective on arrival

Ruled out: load of the endpoints (expected first event 118 to 138 ms).

Change: the limit counts from the objective as of the arrival, so only a queue leads to a refusal.

Kept because a refusal beside free endpoints helps nobody.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -192,8 +192,9 @@
         }
     }
     best.tokensOnEndpoint = static_cast<std::uint64_t>(request.promptTokens + request.answerTokens);
-    // A queue of late requests would make all that follow late; the ones that come back find it shorter.
-    best.isRefused = best.firstEventMs > ShortRefusalPart * request.objectiveMs;
+    // A queue of late requests would make all that follow late; the ones that come back find it shorter. A request that has been late
+    // since its arrival is no reason to refuse it.
+    best.isRefused = best.firstEventMs > ShortRefusalPart * request.fullObjectiveMs;
     // Spread, so that the refused ones do not come back together.
     best.retryAfterMs = ShortRetryMinimumMs + static_cast<double>(request.seed % ShortRetrySpreadMs);
     return best;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -24,6 +24,7 @@
     double promptTokens = 0;
     double answerTokens = 0;
     double objectiveMs = 0; ///< Time to the first event that earns full credit, from now.
+    double fullObjectiveMs = 0; ///< The same as objectiveMs, as of the arrival of the request.
     double pauseMs = 0; ///< Longest pause between events.
     double shortDemand = 0; ///< Short requests that will generate at the same time, of all VMs.
     double timeLeftMs = 0; ///< Until the request is given up.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -201,6 +201,7 @@
     }
     PlacementRequest placementRequest{.promptTokens = caller_.promptTokens, .answerTokens = caller_.answerTokens, .seed = seed};
     placementRequest.objectiveMs = std::max(1.0, inMilliseconds(route_->latencyObjective - (now - request_.receivedAt)));
+    placementRequest.fullObjectiveMs = inMilliseconds(route_->latencyObjective);
     placementRequest.shortDemand = context_.load.totalShortDemand(now);
     placementRequest.timeLeftMs = inMilliseconds(deadline_ - now);
     placementRequest.isFleetKnown = context_.load.knowsFleet(now);
--- a/tests/gateway/placementtest.cpp
+++ b/tests/gateway/placementtest.cpp
@@ -38,12 +38,12 @@
 
     static PlacementRequest shortRequest()
     {
-        return {.promptTokens = 4960, .answerTokens = 1650, .objectiveMs = 300, .pauseMs = 250, .timeLeftMs = 10000, .seed = 7};
+        return {.promptTokens = 4960, .answerTokens = 1650, .objectiveMs = 300, .fullObjectiveMs = 300, .pauseMs = 250, .timeLeftMs = 10000, .seed = 7};
     }
 
     static PlacementRequest longRequest(double tokens)
     {
-        return {.promptTokens = tokens, .answerTokens = 800, .objectiveMs = 3000, .pauseMs = 1000, .timeLeftMs = 15000, .seed = 7};
+        return {.promptTokens = tokens, .answerTokens = 800, .objectiveMs = 3000, .fullObjectiveMs = 3000, .pauseMs = 1000, .timeLeftMs = 15000, .seed = 7};
     }
 
     std::vector<EndpointRecord> endpoints_;
@@ -103,6 +103,14 @@
     EXPECT_GE(placement.retryAfterMs, 500);
 }
 
+// 42 requests that had waited for the document of a VM that had just started were refused while the endpoints were free.
+TEST_F(PlacementTest, ShortPrompt_IsLateBecauseItWaited_IsNotRefused)
+{
+    PlacementRequest request = shortRequest();
+    request.objectiveMs = 1;
+    EXPECT_FALSE(placeGeneration(engine_, candidates_, request).isRefused);
+}
+
 TEST_F(PlacementTest, RefusedRequests_ComeBackAtDifferentTimes)
 {
     for (PlacementCandidate &candidate : candidates_) {
