Placement: Price long prompts by what is read and who pauses

The price counted every endpoint at which a short stream is generated as in use (95 %). Offered reading was 25 to 30 engine seconds a second, of 45. The log did not hold the inputs of a refusal; it does now (gain, price, fleetWaitMs, fleetUsePercent). Ruled out: old load reports, too little memory (no reservation refused).

Change: the use of the fleet is the part of the endpoints that reads, raised by the prompt's own reading; streams that would pause too long are taken off the prompt's gain. A first form that added the own reading to an idle fleet refused 600,000 tokens there, which the tests caught.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -105,9 +105,15 @@
 /// A typical long prompt is worth five times its reading; this lets it wait for its objective and turns away larger ones earlier.
 constexpr double ReadingPrice = 3;
 
-/// Waiting that a fleet in full use stands for, though nothing waits at this moment: what arrives next will.
+/// Waiting that a fleet stands for of which every endpoint reads, though nothing waits at this moment: what arrives next will.
 constexpr double CrowdingMs = 1600;
 
+/// An endpoint that has this much to read counts as reading.
+constexpr double ReadingMs = 200;
+
+/// Reading that raises the use of the fleet by its own part: what arrives meanwhile finds all endpoints reading.
+constexpr double OwnUseMs = 1000;
+
 /// Part of the worth that is lost when the first event comes after the objective.
 constexpr double LateLoss = 0.75;
 
@@ -248,13 +254,17 @@
         const double partMs = readMs / static_cast<double>(count);
         double startMs = 0;
         double cost = HelperCost * static_cast<double>(count) + worth * pauseRisk;
+        double disturbance = 0;
         for (const PlacementCandidate *reader : readers) {
             startMs = std::max(startMs, reader->load.remainingReadMs());
             const double writers = std::max(reader->load.shortWriters, expectedWriters);
-            cost += placeCost(*reader) + harm(partMs + reader->load.remainingLongReadMs(), writers);
-            cost += longHarm(partMs + reader->load.remainingReadMs(), reader->load.longWriters);
+            cost += placeCost(*reader);
+            disturbance += harm(partMs + reader->load.remainingLongReadMs(), writers);
+            disturbance += longHarm(partMs + reader->load.remainingReadMs(), reader->load.longWriters);
         }
+        cost += disturbance;
         Placement placement{.readMs = partMs, .isLong = true};
+        placement.disturbance = disturbance;
         placement.startMs = startMs;
         placement.allowedStartMs = AllowedStartMsSquared / readMs;
         placement.firstEventMs = startMs + partMs + engine.passMs(1, request.promptTokens);
@@ -300,15 +310,20 @@
     Placement placement = useLong ? onLong.placement : onShort.placement;
     if (placement.endpoint != nullptr && !longOrder.empty()) {
         double waitingMs = 0;
-        double inUse = static_cast<double>(shortSet) - 1;
+        double inUse = 0;
         for (const PlacementCandidate *candidate : longOrder) {
             waitingMs += candidate->load.remainingReadMs() / static_cast<double>(longOrder.size());
-            inUse += candidate->load.unreadMs > 0 || candidate->load.shortWriters > 0 ? 1 : 0;
+            inUse += std::min(1.0, candidate->load.remainingReadMs() / ReadingMs);
         }
-        const double crowdingMs = CrowdingMs * inUse / static_cast<double>(candidates.size());
-        const double gain = worthOf(request) * (1 - LateLoss * std::min(1.0, lateness(placement.firstEventMs, request.objectiveMs)));
-        const double price = ReadingPrice * (waitingMs + crowdingMs) / 1000 * engine.readMs(request.promptTokens) / 1000;
-        placement.isRefused = gain < price || placement.firstEventMs > request.timeLeftMs;
+        const auto fleet = static_cast<double>(candidates.size());
+        const double ownUse = engine.readMs(request.promptTokens) / OwnUseMs / fleet;
+        placement.fleetUsePart = std::min(1.0, (1 + ownUse) * inUse / fleet);
+        const double crowdingMs = CrowdingMs * placement.fleetUsePart;
+        placement.gain
+            = worthOf(request) * (1 - LateLoss * std::min(1.0, lateness(placement.firstEventMs, request.objectiveMs))) - LateLoss * placement.disturbance;
+        placement.price = ReadingPrice * (waitingMs + crowdingMs) / 1000 * engine.readMs(request.promptTokens) / 1000;
+        placement.fleetWaitMs = waitingMs;
+        placement.isRefused = placement.gain < placement.price || placement.firstEventMs > request.timeLeftMs;
         placement.retryAfterMs = std::max(waitingMs, LongRetryMinimumMs + static_cast<double>(request.seed % LongRetrySpreadMs));
     }
     return placement;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -45,6 +45,11 @@
     bool isLong = false;
     bool isRefused = false; ///< Serving the request would cost more than it is worth; it may come back after retryAfterMs.
     double retryAfterMs = 0;
+    double disturbance = 0; ///< Worth that streams beside it lose, in short requests, as gain and price.
+    double gain = 0; ///< What serving a long prompt is expected to earn, less the disturbance.
+    double price = 0; ///< What its reading takes from the prompts that wait and from those that arrive next.
+    double fleetWaitMs = 0; ///< Reading that waits at an endpoint for long prompts, on average.
+    double fleetUsePart = 0; ///< Endpoints that read, with this prompt.
 };
 
 /// Places a call to a plain service: the endpoint with the fewest requests in progress, preferably in the same zone.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -234,7 +234,11 @@
                    {{"request", caller_.id.value()},
                     {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
                     {"expectedMs", std::to_string(static_cast<int>(placement.firstEventMs))},
-                    {"waitingMs", std::to_string(static_cast<int>(placement.retryAfterMs))}});
+                    {"gain", std::to_string(static_cast<int>(placement.gain))},
+                    {"price", std::to_string(static_cast<int>(placement.price))},
+                    {"fleetWaitMs", std::to_string(static_cast<int>(placement.fleetWaitMs))},
+                    {"fleetUsePercent", std::to_string(static_cast<int>(placement.fleetUsePart * 100))},
+                    {"retryAfterMs", std::to_string(static_cast<int>(placement.retryAfterMs))}});
         const milliseconds pause = std::max(RefusalPause, milliseconds(static_cast<std::int64_t>(placement.retryAfterMs)));
         refuse(503, "overloaded", "the endpoints have too much to read", std::min(pause, std::chrono::duration_cast<milliseconds>(deadline_ - now) / 3));
         return;
