Placement: Read long prompts where no long stream is generated

The readers are ordered by reading and short streams only, so several of the 17 have long streams that would pause too long, which is taken off the gain.

Change: long streams count in the order of the readers.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -88,8 +88,9 @@
 constexpr double LongHarmfulReadMs = 400;
 constexpr double LongWriterWorth = 14;
 
-/// Reading that one short request at an endpoint stands for when readers of a long prompt are chosen.
+/// Reading that one request which generates at an endpoint stands for when readers of a long prompt are chosen.
 constexpr double ShortWriterReadMs = 30;
+constexpr double LongWriterReadMs = 100;
 
 /// Long reading at each endpoint for long prompts that makes it certain that a pause is too long.
 constexpr double FullReadingMs = 400;
@@ -296,7 +297,7 @@
     const auto byUse = [&request, spreadReadMs](const PlacementCandidate *left, const PlacementCandidate *right) {
         const auto use = [&request, spreadReadMs](const PlacementCandidate *candidate) {
             return candidate->load.remainingReadMs() + ForbiddenCost * placeCost(*candidate) + candidate->load.shortWriters * ShortWriterReadMs
-                + spreadReadMs * spread(*candidate, request.seed);
+                + candidate->load.longWriters * LongWriterReadMs + spreadReadMs * spread(*candidate, request.seed);
         };
         return use(left) < use(right);
     };
--- a/tests/gateway/placementtest.cpp
+++ b/tests/gateway/placementtest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <numeric>
 #include <set>
@@ -187,6 +188,22 @@
     EXPECT_FALSE(placeGeneration(engine_, candidates_, longRequest(154000)).isRefused);
 }
 
+// 327,000 tokens were refused on quiet-1 of kpecu-lc-grown because their readers had long streams, with 87 % of the endpoints idle.
+TEST_F(PlacementTest, SomeGenerateLongStreams_LargePromptIsReadByOthers)
+{
+    std::set<const EndpointRecord *> busy;
+    for (std::size_t index = 1; index < candidates_.size(); index += 2) {
+        candidates_[index].load = {.requests = 1, .longWriters = 1};
+        busy.insert(candidates_[index].endpoint);
+    }
+    const Placement placement = placeGeneration(engine_, candidates_, longRequest(120000));
+    EXPECT_FALSE(placement.isRefused);
+    EXPECT_FALSE(busy.contains(placement.endpoint));
+    const auto beside
+        = std::count_if(placement.helpers.begin(), placement.helpers.end(), [&busy](const EndpointRecord *helper) { return busy.contains(helper); });
+    EXPECT_EQ(beside, 0) << placement.helpers.size();
+}
+
 // On quiet-1 of kpecu-lc-grown prompts were refused because short streams were generated on most endpoints, though hardly anything was read.
 TEST_F(PlacementTest, FewStreamsBeside_LittleIsRead_LargePromptIsServed)
 {
