RequestExchange: Move what the caller of a stream has received to RelayedStream

Repeated events, the position from which another endpoint continues and the longest pause were five members of RequestExchange, and no unit test covered the overlap of two endpoints.

--- /dev/null
+++ b/src/gateway/relayedstream.cpp
@@ -0,0 +1,57 @@
+#include "gateway/relayedstream.h"
+
+#include <algorithm>
+
+namespace Lentillock
+{
+
+void RelayedStream::startAfter(std::optional<std::uint64_t> lastEventId)
+{
+    lastEventId_ = lastEventId;
+}
+
+std::string RelayedStream::accept(const std::vector<StreamEvent> &events, TimePoint now)
+{
+    std::string bytes;
+    for (const StreamEvent &event : events) {
+        const bool isRepeated = event.id && lastEventId_ && *event.id <= *lastEventId_;
+        if (isRepeated) {
+            continue;
+        }
+        bytes += event.bytes;
+        lastEventId_ = event.id ? event.id : lastEventId_;
+        ++eventCount_;
+    }
+    if (bytes.empty()) {
+        return bytes;
+    }
+    if (firstEventAt_) {
+        longestPause_ = std::max(longestPause_, now - lastEventAt_);
+    } else {
+        firstEventAt_ = now;
+    }
+    lastEventAt_ = now;
+    return bytes;
+}
+
+std::optional<std::uint64_t> RelayedStream::lastEventId() const
+{
+    return lastEventId_;
+}
+
+std::size_t RelayedStream::eventCount() const
+{
+    return eventCount_;
+}
+
+std::optional<TimePoint> RelayedStream::firstEventAt() const
+{
+    return firstEventAt_;
+}
+
+Duration RelayedStream::longestPause() const
+{
+    return longestPause_;
+}
+
+}
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -132,7 +132,7 @@
     route_ = admitted.route;
     service_ = admitted.service;
     workspace_ = admitted.workspace;
-    lastEventId_ = caller_.lastEventId;
+    stream_.startAfter(caller_.lastEventId);
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     context_.repeats.noteRequest(service_->name, now);
     deadlineTimer_ = callAt(deadline_, &RequestExchange::onDeadline);
@@ -282,7 +282,7 @@
 
 void RequestExchange::transmit(TimePoint now)
 {
-    EndpointOrder order{.expectedEndpoint = send_->endpoint.id, .workspace = workspace_, .lastEventId = lastEventId_};
+    EndpointOrder order{.expectedEndpoint = send_->endpoint.id, .workspace = workspace_, .lastEventId = stream_.lastEventId()};
     order.timeLeft = std::chrono::duration_cast<milliseconds>(deadline_ - now);
     if (send_->placement.readMs > 0) {
         order.urgency = send_->placement.isLong ? LongUrgency : ShortUrgency;
@@ -362,28 +362,14 @@
 
 void RequestExchange::relayEvents(std::string_view bytes)
 {
-    std::string whole;
-    for (const StreamEvent &event : send_->events.feed(bytes)) {
-        const bool isRepeated = event.id && lastEventId_ && *event.id <= *lastEventId_;
-        if (isRepeated) {
-            continue;
-        }
-        whole += event.bytes;
-        lastEventId_ = event.id ? event.id : lastEventId_;
-        ++relayedEvents_;
-    }
+    const TimePoint now = monotonicNow();
+    std::string whole = stream_.accept(send_->events.feed(bytes), now);
     if (whole.empty()) {
         return;
     }
-    const TimePoint now = monotonicNow();
-    if (!facts_.answerStarted) {
-        facts_.answerStarted = true;
-        firstEventAt_ = now;
+    if (!std::exchange(facts_.answerStarted, true)) {
         sink_.beginStream(send_->head);
-    } else {
-        longestPause_ = std::max(longestPause_, now - lastEventAt_);
     }
-    lastEventAt_ = now;
     context_.load.firstEvent(send_->load);
     for (const FleetLoad::Ticket helper : send_->helperLoads) {
         context_.load.firstEvent(helper);
@@ -462,7 +448,7 @@
                     {"status", std::to_string(send_->head.status)},
                     {"atFault", send_->answer.endpointAtFault},
                     {"afterMs", std::to_string(static_cast<int>(inMilliseconds(now - send_->sentAt)))},
-                    {"events", std::to_string(relayedEvents_)},
+                    {"events", std::to_string(stream_.eventCount())},
                     {"mayHaveRun", facts_.mayHaveRun ? "yes" : "no"},
                     {"sendAgain", step == NextStep::SendAgain ? "yes" : "no"}});
     }
@@ -499,7 +485,7 @@
     if (!route_->isStream) {
         return std::chrono::duration_cast<Duration>(route_->timeout * CallSilencePart);
     }
-    if (send_->isRelayed && relayedEvents_ > 0) {
+    if (send_->isRelayed && stream_.eventCount() > 0) {
         return std::max<Duration>(FirstEventSilenceMinimum, route_->pauseObjective * PauseSilenceFactor);
     }
     const auto expected = std::chrono::duration<double, std::milli>(FirstEventSilenceFactor * send_->placement.firstEventMs);
@@ -589,8 +575,11 @@
     closeSend();
     const std::string route = route_ != nullptr ? route_->name : "";
     context_.metrics.increment("lentillock_finished_total", {{"outcome", std::string(outcome)}});
-    if (firstEventAt_ != TimePoint()) {
-        context_.metrics.observe("lentillock_first_event_seconds", inMilliseconds(firstEventAt_ - request_.receivedAt) / 1000);
+    std::string firstMs;
+    if (const auto firstEventAt = stream_.firstEventAt()) {
+        const double waitedMs = inMilliseconds(*firstEventAt - request_.receivedAt);
+        context_.metrics.observe("lentillock_first_event_seconds", waitedMs / 1000);
+        firstMs = std::to_string(static_cast<int>(waitedMs));
     }
     Log::write(Log::Level::Info,
                "finished",
@@ -600,9 +589,9 @@
                 {"outcome", std::string(outcome)},
                 {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
                 {"sends", std::to_string(facts_.sends)},
-                {"events", std::to_string(relayedEvents_)},
-                {"firstMs", firstEventAt_ == TimePoint() ? "" : std::to_string(static_cast<int>(inMilliseconds(firstEventAt_ - request_.receivedAt)))},
-                {"pauseMs", std::to_string(static_cast<int>(inMilliseconds(longestPause_)))},
+                {"events", std::to_string(stream_.eventCount())},
+                {"firstMs", firstMs},
+                {"pauseMs", std::to_string(static_cast<int>(inMilliseconds(stream_.longestPause())))},
                 {"totalMs", std::to_string(static_cast<int>(inMilliseconds(now - request_.receivedAt)))}});
 }
 
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -2,10 +2,10 @@
 
 #include "base/timerservice.h"
 #include "gateway/answersink.h"
-#include "gateway/eventsplitter.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/nextstep.h"
 #include "gateway/placement.h"
+#include "gateway/relayedstream.h"
 #include "gateway/requestadmission.h"
 #include "gateway/reservationset.h"
 
@@ -97,11 +97,7 @@
     std::set<EndpointId> tried_;
     SendFacts facts_;
     bool finished_ = false;
-    std::optional<std::uint64_t> lastEventId_;
-    std::size_t relayedEvents_ = 0;
-    TimePoint firstEventAt_{};
-    TimePoint lastEventAt_{};
-    Duration longestPause_{};
+    RelayedStream stream_;
     bool held_ = false;
 };
 
--- /dev/null
+++ b/tests/gateway/relayedstreamtest.cpp
@@ -0,0 +1,59 @@
+#include "gateway/relayedstream.h"
+
+#include <gtest/gtest.h>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+const TimePoint Start(1000s);
+
+StreamEvent event(std::uint64_t id)
+{
+    return {.bytes = std::to_string(id) + ';', .id = id};
+}
+
+}
+
+TEST(RelayedStreamTest, AnotherEndpointContinues_EventsOverlap_CallerGetsEachOnce)
+{
+    RelayedStream stream;
+    EXPECT_EQ(stream.accept({event(1), event(2)}, Start), "1;2;");
+    EXPECT_EQ(stream.lastEventId(), 2U);
+    EXPECT_EQ(stream.accept({event(2), event(3)}, Start + 1s), "3;");
+    EXPECT_EQ(stream.accept({event(1), event(2), event(3)}, Start + 2s), "");
+    EXPECT_EQ(stream.eventCount(), 3U);
+}
+
+TEST(RelayedStreamTest, CallerContinues_EarlierEventsArrive_AreLeftOut)
+{
+    RelayedStream stream;
+    stream.startAfter(7);
+    EXPECT_EQ(stream.accept({event(7)}, Start), "");
+    EXPECT_FALSE(stream.firstEventAt());
+    EXPECT_EQ(stream.accept({event(8)}, Start + 100ms), "8;");
+    EXPECT_EQ(stream.firstEventAt(), Start + 100ms);
+}
+
+TEST(RelayedStreamTest, Pause_IsCountedBetweenEventsThatReachTheCaller)
+{
+    RelayedStream stream;
+    stream.accept({event(1)}, Start);
+    stream.accept({event(1)}, Start + 300ms);
+    EXPECT_EQ(stream.longestPause(), Duration::zero());
+    stream.accept({event(2)}, Start + 500ms);
+    stream.accept({event(3)}, Start + 600ms);
+    EXPECT_EQ(stream.longestPause(), 500ms);
+}
+
+TEST(RelayedStreamTest, EventsHaveNoIds_AllAreRelayed)
+{
+    RelayedStream stream;
+    EXPECT_EQ(stream.accept({{.bytes = "a", .id = {}}, {.bytes = "a", .id = {}}}, Start), "aa");
+    EXPECT_FALSE(stream.lastEventId());
+    EXPECT_EQ(stream.eventCount(), 2U);
+}
+
+}
