EndpointChannels: Keep a share of what an endpoint accepts

Cause: each VM kept up to 16 idle channels to an endpoint.

Change: the plan decodes max_connections, and all VMs together keep at most half of it idle. With fewer channels than VMs none is kept.

--- a/src/gateway/endpointchannels.cpp
+++ b/src/gateway/endpointchannels.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpointchannels.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace Lentillock
@@ -11,9 +12,12 @@
 /// Bound on the time to open a channel. Twice the round trip between zones and one retransmission.
 constexpr Duration ConnectTimeout = 400ms;
 
-/// Idle channels that are kept for each endpoint.
+/// Idle channels that are kept for each endpoint, whatever it accepts.
 constexpr std::size_t MaxIdleChannels = 16;
 
+/// Part of the channels of an endpoint that may be idle; an endpoint resets those that exceed its bound, and busy ones need the rest.
+constexpr double IdlePart = 0.5;
+
 }
 
 boost::asio::ip::tcp::endpoint socketAddress(const std::string &address)
@@ -28,6 +32,15 @@
     return error ? boost::asio::ip::tcp::endpoint() : boost::asio::ip::tcp::endpoint(ip, port);
 }
 
+std::size_t idleChannelLimit(std::size_t maxChannels, std::size_t vmCount)
+{
+    if (maxChannels == 0) {
+        return MaxIdleChannels;
+    }
+    const double share = IdlePart * static_cast<double>(maxChannels) / static_cast<double>(std::max<std::size_t>(vmCount, 1));
+    return std::min(MaxIdleChannels, static_cast<std::size_t>(share));
+}
+
 EndpointChannels::EndpointChannels(boost::asio::io_context &context)
     : context_(context)
 {
@@ -51,10 +64,10 @@
     return std::make_shared<HttpChannel>(context_, socketAddress(endpoint.address), ConnectTimeout);
 }
 
-void EndpointChannels::release(const EndpointRecord &endpoint, const HttpChannelPointer &channel, TimePoint now)
+void EndpointChannels::release(const EndpointRecord &endpoint, const HttpChannelPointer &channel, std::size_t idleLimit, TimePoint now)
 {
     Entry &entry = entryOf(endpoint);
-    if (!channel->isReusable(now) || entry.idle.size() >= MaxIdleChannels) {
+    if (!channel->isReusable(now) || entry.idle.size() >= idleLimit) {
         channel->close();
         return;
     }
--- a/src/gateway/endpointchannels.h
+++ b/src/gateway/endpointchannels.h
@@ -27,7 +27,8 @@
 
     /// A channel to @p endpoint. The caller returns it with release() after a whole answer, or closes it.
     HttpChannelPointer acquire(const EndpointRecord &endpoint, ChannelChoice choice, TimePoint now);
-    void release(const EndpointRecord &endpoint, const HttpChannelPointer &channel, TimePoint now);
+    /// Keeps @p channel unless @p idleLimit channels to the endpoint are idle already.
+    void release(const EndpointRecord &endpoint, const HttpChannelPointer &channel, std::size_t idleLimit, TimePoint now);
 
     /// Closes idle channels to endpoints that are leaving, gone or replaced, and those that are too old to be used.
     void prune(const EndpointDirectory &directory, TimePoint now);
@@ -49,6 +50,9 @@
     std::uint64_t openedCount_ = 0;
 };
 
+/// Idle channels to one endpoint that a VM may keep if the endpoint accepts @p maxChannels from @p vmCount VMs; 0 for no such bound.
+std::size_t idleChannelLimit(std::size_t maxChannels, std::size_t vmCount);
+
 /// Parses IP:PORT.
 boost::asio::ip::tcp::endpoint socketAddress(const std::string &address);
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -41,6 +41,13 @@
         return load.peerCount() + 1;
     }
 
+    /// Idle channels to @p endpoint that this VM may keep.
+    [[nodiscard]] std::size_t idleChannels(const EndpointRecord &endpoint) const
+    {
+        const ServiceEntry *service = plan ? plan->service(endpoint.service) : nullptr;
+        return idleChannelLimit(service != nullptr ? service->maxChannels : 0, vmCount());
+    }
+
     boost::asio::io_context &io;
     GatewaySettings settings;
     const WireProtocol &wire;
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -382,7 +382,7 @@
 {
     const auto keep = shared_from_this();
     const TimePoint now = monotonicNow();
-    context_.channels.release(send_->endpoint, send_->channel, now);
+    context_.channels.release(send_->endpoint, send_->channel, context_.idleChannels(send_->endpoint), now);
     send_->channel.reset();
     if (send_->isRelayed) {
         if (send_->events.hasPartialEvent()) {
--- a/src/gateway/reservationset.cpp
+++ b/src/gateway/reservationset.cpp
@@ -45,7 +45,7 @@
     handlers.onBody = [](const std::string &) {};
     handlers.onFinished = [&context, channel, call, complete, endpoint, timer] {
         context.timers.cancel(timer);
-        context.channels.release(endpoint, channel, monotonicNow());
+        context.channels.release(endpoint, channel, context.idleChannels(endpoint), monotonicNow());
         complete(context.wire.isReserved(call->head));
     };
     handlers.onFailed = [&context, complete, timer](ChannelFailure) {
--- a/src/gateway/servingplan.h
+++ b/src/gateway/servingplan.h
@@ -76,6 +76,7 @@
 struct ServiceEntry {
     std::string name;
     std::optional<EngineModel> engine;
+    std::size_t maxChannels = 0; ///< That one endpoint accepts from all VMs together; 0 if not stated.
 
     auto operator<=>(const ServiceEntry &) const = default;
 };
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -45,6 +45,7 @@
     EXPECT_EQ(plan->service("s1")->engine->readTokensPerMs, 177);
     EXPECT_EQ(plan->service("s1")->engine->usualAnswerTokens, 1622);
     EXPECT_FALSE(plan->service("s2")->engine.has_value());
+    EXPECT_EQ(plan->service("s1")->maxChannels, 264U);
     EXPECT_EQ(plan->workspace("k2")->name, WorkspaceId("w"));
 }
 
