Placement: Compute the use of each endpoint once when readers are chosen

The comparison of the sort hashed the ids of both endpoints each time, in every placement of a long prompt and again every 20 ms while one is held.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
+#include <utility>
 
 namespace Lentillock
 {
@@ -283,6 +283,22 @@
     return best;
 }
 
+/// Puts the endpoints first that can begin to read a part of the prompt soonest, and disturb the fewest streams by it.
+void sortByUse(std::vector<const PlacementCandidate *> &candidates, const PlacementRequest &request)
+{
+    const double spreadReadMs = request.isFleetKnown ? SpreadReadMs : UnknownFleetSpreadReadMs;
+    std::vector<std::pair<double, const PlacementCandidate *>> byUse;
+    byUse.reserve(candidates.size());
+    for (const PlacementCandidate *candidate : candidates) {
+        const EndpointLoad &load = candidate->load;
+        const double use = load.remainingReadMs() + ForbiddenCost * placeCost(*candidate) + load.shortWriters * ShortWriterReadMs
+            + load.longWriters * LongWriterReadMs + spreadReadMs * spread(*candidate, request.seed);
+        byUse.emplace_back(use, candidate);
+    }
+    std::stable_sort(byUse.begin(), byUse.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::transform(byUse.begin(), byUse.end(), candidates.begin(), [](const auto &entry) { return entry.second; });
+}
+
 Placement placeLong(const EngineModel &engine, const std::vector<PlacementCandidate> &candidates, const PlacementRequest &request)
 {
     const std::size_t shortSet = shortSetSize(engine, candidates, request.shortDemand);
@@ -293,16 +309,8 @@
         (index < shortSet ? shortOrder : longOrder).push_back(&candidates[index]);
         longReadMs += index < shortSet ? 0 : candidates[index].load.remainingLongReadMs();
     }
-    const double spreadReadMs = request.isFleetKnown ? SpreadReadMs : UnknownFleetSpreadReadMs;
-    const auto byUse = [&request, spreadReadMs](const PlacementCandidate *left, const PlacementCandidate *right) {
-        const auto use = [&request, spreadReadMs](const PlacementCandidate *candidate) {
-            return candidate->load.remainingReadMs() + ForbiddenCost * placeCost(*candidate) + candidate->load.shortWriters * ShortWriterReadMs
-                + candidate->load.longWriters * LongWriterReadMs + spreadReadMs * spread(*candidate, request.seed);
-        };
-        return use(left) < use(right);
-    };
-    std::stable_sort(shortOrder.begin(), shortOrder.end(), byUse);
-    std::stable_sort(longOrder.begin(), longOrder.end(), byUse);
+    sortByUse(shortOrder, request);
+    sortByUse(longOrder, request);
     const double reading = longOrder.empty() ? 0 : std::min(1.0, longReadMs / (FullReadingMs * static_cast<double>(longOrder.size())));
     const double pauseRisk = request.pauseMs < TightPauseMs ? reading / 2 : 0;
     CostedPlacement onLong = placeLongOn(engine, longOrder, request, pauseRisk, 0);
