Gateway: Derive what can be derived, remove what nothing calls

- A channel's key names the incarnation of its endpoint, so the copy of the record that was made at each send and each answer goes.
- One optional tells whether and since when the VM drains.
- RelayedStream is complete when it is made.
- followablePause() bounds all three kinds of Retry-After; whole() formats the numbers of the log.

--- a/src/gateway/callerchannel.cpp
+++ b/src/gateway/callerchannel.cpp
@@ -143,7 +143,7 @@
 
 bool CallerChannel::keepsAlive() const
 {
-    return requestKeepsAlive_ && !context_.draining;
+    return requestKeepsAlive_ && !context_.drainingSince;
 }
 
 std::string CallerChannel::headText(const HttpHead &head) const
--- a/src/gateway/endpointchannels.cpp
+++ b/src/gateway/endpointchannels.cpp
@@ -48,11 +48,11 @@
 
 HttpChannelPointer EndpointChannels::acquire(const EndpointRecord &endpoint, ChannelChoice choice, TimePoint now)
 {
-    Entry &entry = entryOf(endpoint);
     if (choice == ChannelChoice::Kept) {
-        while (!entry.idle.empty()) {
-            HttpChannelPointer channel = entry.idle.back();
-            entry.idle.pop_back();
+        std::deque<HttpChannelPointer> &idle = idle_[keyOf(endpoint)];
+        while (!idle.empty()) {
+            HttpChannelPointer channel = idle.back();
+            idle.pop_back();
             channel->setIdleCloseHandler({});
             if (channel->isReusable(now)) {
                 return channel;
@@ -66,33 +66,34 @@
 
 void EndpointChannels::release(const EndpointRecord &endpoint, const HttpChannelPointer &channel, std::size_t idleLimit, TimePoint now)
 {
-    Entry &entry = entryOf(endpoint);
-    if (!channel->isReusable(now) || entry.idle.size() >= idleLimit) {
+    const Key key = keyOf(endpoint);
+    std::deque<HttpChannelPointer> &idle = idle_[key];
+    if (!channel->isReusable(now) || idle.size() >= idleLimit) {
         channel->close();
         return;
     }
-    entry.idle.push_back(channel);
-    channel->setIdleCloseHandler([this, key = keyOf(endpoint), raw = channel.get()] {
-        const auto found = entries_.find(key);
-        if (found != entries_.end()) {
-            std::erase_if(found->second.idle, [raw](const HttpChannelPointer &idle) { return idle.get() == raw; });
+    idle.push_back(channel);
+    channel->setIdleCloseHandler([this, key, raw = channel.get()] {
+        const auto found = idle_.find(key);
+        if (found != idle_.end()) {
+            std::erase_if(found->second, [raw](const HttpChannelPointer &known) { return known.get() == raw; });
         }
     });
 }
 
 void EndpointChannels::prune(const EndpointDirectory &directory, TimePoint now)
 {
-    for (auto entry = entries_.begin(); entry != entries_.end();) {
-        const EndpointRecord *record = directory.find(entry->second.endpoint.id);
-        const bool isCurrent = record != nullptr && !record->isLeaving && record->isSameIncarnation(entry->second.endpoint);
-        std::erase_if(entry->second.idle, [isCurrent, now](const HttpChannelPointer &channel) {
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        const EndpointRecord *record = directory.find(std::get<EndpointId>(entry->first));
+        const bool isCurrent = record != nullptr && !record->isLeaving && keyOf(*record) == entry->first;
+        std::erase_if(entry->second, [isCurrent, now](const HttpChannelPointer &channel) {
             if (isCurrent && channel->isReusable(now)) {
                 return false;
             }
             channel->close();
             return true;
         });
-        entry = !isCurrent ? entries_.erase(entry) : std::next(entry);
+        entry = isCurrent ? std::next(entry) : idle_.erase(entry);
     }
 }
 
@@ -103,14 +104,7 @@
 
 EndpointChannels::Key EndpointChannels::keyOf(const EndpointRecord &endpoint)
 {
-    return {endpoint.id, endpoint.address + '#' + std::to_string(endpoint.startedAtMs)};
-}
-
-EndpointChannels::Entry &EndpointChannels::entryOf(const EndpointRecord &endpoint)
-{
-    Entry &entry = entries_[keyOf(endpoint)];
-    entry.endpoint = endpoint;
-    return entry;
+    return {endpoint.id, endpoint.address, endpoint.startedAtMs};
 }
 
 }
--- a/src/gateway/endpointchannels.h
+++ b/src/gateway/endpointchannels.h
@@ -36,17 +36,13 @@
     [[nodiscard]] std::uint64_t openedCount() const;
 
 private:
-    using Key = std::pair<EndpointId, std::string>;
-    struct Entry {
-        EndpointRecord endpoint;
-        std::deque<HttpChannelPointer> idle; ///< The most recently used one is last.
-    };
+    /// What names an incarnation: id, address and start.
+    using Key = std::tuple<EndpointId, std::string, std::int64_t>;
 
     [[nodiscard]] static Key keyOf(const EndpointRecord &endpoint);
-    Entry &entryOf(const EndpointRecord &endpoint);
 
     boost::asio::io_context &context_;
-    std::map<Key, Entry> entries_;
+    std::map<Key, std::deque<HttpChannelPointer>> idle_; ///< The most recently used channel of an endpoint is last.
     std::uint64_t openedCount_ = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -144,7 +144,7 @@
             if (onReload) {
                 onReload();
             }
-        } else if (context_.draining) {
+        } else if (context_.drainingSince) {
             stopped_ = true;
         } else {
             beginDrain(monotonicNow());
@@ -156,7 +156,6 @@
 void Gateway::beginDrain(TimePoint now)
 {
     Log::write(Log::Level::Info, "draining", {{"openCallers", std::to_string(callers_.size())}});
-    context_.draining = true;
     context_.drainingSince = now;
     context_.timers.subscribeOnce(now + DrainAcceptTime, [this](TimePoint) {
         acceptor_.close();
@@ -211,7 +210,7 @@
 
 bool Gateway::isReady() const
 {
-    return !context_.draining && context_.plan && !context_.directory.all().empty();
+    return !context_.drainingSince && context_.plan && !context_.directory.all().empty();
 }
 
 OperatorServer::Answer Gateway::operatorAnswer(std::string_view path) const
@@ -246,7 +245,7 @@
     }
     return boost::json::serialize(boost::json::object{{"vm", context_.settings.vm.value()},
                                                       {"planVersion", context_.plan ? context_.plan->version() : 0},
-                                                      {"draining", context_.draining},
+                                                      {"draining", context_.drainingSince.has_value()},
                                                       {"callers", callers_.size()},
                                                       {"peerVms", context_.load.peerCount()},
                                                       {"endpoints", std::move(endpoints)}});
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -14,6 +14,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <optional>
+
 namespace Lentillock
 {
 
@@ -63,8 +65,7 @@
     FleetLoad load;
     EndpointHealth health;
     RepeatBudget repeats;
-    bool draining = false;
-    TimePoint drainingSince{}; ///< Valid while draining.
+    std::optional<TimePoint> drainingSince; ///< When the stop signal came.
 };
 
 }
--- a/src/gateway/httpchannel.cpp
+++ b/src/gateway/httpchannel.cpp
@@ -105,11 +105,6 @@
     return !closed_ && !active_ && !writing_ && now < reusableUntil_;
 }
 
-bool HttpChannel::isClosed() const
-{
-    return closed_;
-}
-
 bool HttpChannel::hasConnected() const
 {
     return connected_;
--- a/src/gateway/httpchannel.h
+++ b/src/gateway/httpchannel.h
@@ -51,7 +51,6 @@
 
     /// Whether another exchange may start on this channel.
     [[nodiscard]] bool isReusable(TimePoint now) const;
-    [[nodiscard]] bool isClosed() const;
     [[nodiscard]] bool hasConnected() const;
 
     /// Called when the peer closes the channel, or sends bytes on it, between two exchanges.
--- a/src/gateway/relayedstream.cpp
+++ b/src/gateway/relayedstream.cpp
@@ -5,9 +5,9 @@
 namespace Lentillock
 {
 
-void RelayedStream::startAfter(std::optional<std::uint64_t> lastEventId)
+RelayedStream::RelayedStream(std::optional<std::uint64_t> lastEventId)
+    : lastEventId_(lastEventId)
 {
-    lastEventId_ = lastEventId;
 }
 
 std::string RelayedStream::accept(const std::vector<StreamEvent> &events, TimePoint now)
--- a/src/gateway/relayedstream.h
+++ b/src/gateway/relayedstream.h
@@ -15,8 +15,8 @@
 class RelayedStream
 {
 public:
-    /// @p lastEventId is the event after which the caller wants the stream to go on.
-    void startAfter(std::optional<std::uint64_t> lastEventId);
+    /// @p lastEventId is the event after which the caller wants the stream to go on, if it has received a part.
+    explicit RelayedStream(std::optional<std::uint64_t> lastEventId);
 
     /// Returns the bytes that the caller gets of @p events. Events that it has received are left out.
     std::string accept(const std::vector<StreamEvent> &events, TimePoint now);
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -58,6 +58,18 @@
     return status >= 200 && status < 300;
 }
 
+/// Callers follow a pause of up to a third of the time that they have left.
+milliseconds followablePause(milliseconds wanted, Duration timeLeft)
+{
+    return std::min(wanted, std::chrono::duration_cast<milliseconds>(timeLeft) / 3);
+}
+
+/// A number without its fraction, for the log.
+std::string whole(double value)
+{
+    return std::to_string(static_cast<std::int64_t>(value));
+}
+
 std::string_view outcomeName(SendOutcome outcome)
 {
     switch (outcome) {
@@ -86,6 +98,7 @@
     , sink_(sink)
     , request_(std::move(request))
     , caller_(context.wire.callerHead(request_.head))
+    , stream_(caller_.lastEventId)
 {
 }
 
@@ -121,18 +134,16 @@
 {
     const milliseconds timeLeft = caller_.timeLeft.value_or(DefaultTimeLeft);
     deadline_ = request_.receivedAt + timeLeft - CallerMargin;
-    const auto drainingFor = context_.draining ? std::optional<Duration>(now - context_.drainingSince) : std::nullopt;
+    const auto drainingFor = context_.drainingSince ? std::optional<Duration>(now - *context_.drainingSince) : std::nullopt;
     const AdmissionResult result = admitRequest(plan_.get(), caller_, pathOf(request_.head.target), drainingFor);
     if (const auto *refusal = std::get_if<AdmissionRefusal>(&result)) {
-        // Callers follow up to a third of the time that they have left.
-        refuse(refusal->status, refusal->code, refusal->message, refusal->mayComeBack ? std::optional(std::min(RefusalPause, timeLeft / 3)) : std::nullopt);
+        refuse(refusal->status, refusal->code, refusal->message, refusal->mayComeBack ? std::optional(followablePause(RefusalPause, timeLeft)) : std::nullopt);
         return false;
     }
     const auto &admitted = std::get<AdmittedRequest>(result);
     route_ = admitted.route;
     service_ = admitted.service;
     workspace_ = admitted.workspace;
-    stream_.startAfter(caller_.lastEventId);
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     context_.repeats.noteRequest(service_->name, now);
     deadlineTimer_ = callAt(deadline_, &RequestExchange::onDeadline);
@@ -187,7 +198,7 @@
                    {{"request", caller_.id.value()},
                     {"service", service_->name},
                     {"sends", std::to_string(facts_.sends)},
-                    {"leftMs", std::to_string(static_cast<int>(inMilliseconds(deadline_ - now)))},
+                    {"leftMs", whole(inMilliseconds(deadline_ - now))},
                     {"endpointsRevision", std::to_string(context_.directory.revision())}});
         sendEnded(SendOutcome::NotConnected, false);
         return;
@@ -200,15 +211,15 @@
         Log::write(Log::Level::Info,
                    "shed",
                    {{"request", caller_.id.value()},
-                    {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
-                    {"expectedMs", std::to_string(static_cast<int>(placement.firstEventMs))},
-                    {"gain", std::to_string(static_cast<int>(placement.gain))},
-                    {"price", std::to_string(static_cast<int>(placement.price))},
-                    {"fleetWaitMs", std::to_string(static_cast<int>(placement.fleetWaitMs))},
-                    {"fleetUsePercent", std::to_string(static_cast<int>(placement.fleetUsePart * 100))},
-                    {"retryAfterMs", std::to_string(static_cast<int>(placement.retryAfterMs))}});
+                    {"promptTokens", whole(caller_.promptTokens)},
+                    {"expectedMs", whole(placement.firstEventMs)},
+                    {"gain", whole(placement.gain)},
+                    {"price", whole(placement.price)},
+                    {"fleetWaitMs", whole(placement.fleetWaitMs)},
+                    {"fleetUsePercent", whole(placement.fleetUsePart * 100)},
+                    {"retryAfterMs", whole(placement.retryAfterMs)}});
         const milliseconds pause = std::max(RefusalPause, milliseconds(static_cast<std::int64_t>(placement.retryAfterMs)));
-        refuse(503, "overloaded", "the endpoints have too much to read", std::min(pause, std::chrono::duration_cast<milliseconds>(deadline_ - now) / 3));
+        refuse(503, "overloaded", "the endpoints have too much to read", followablePause(pause, deadline_ - now));
         return;
     }
     ++facts_.sends;
@@ -265,9 +276,9 @@
         Log::write(Log::Level::Info,
                    "held",
                    {{"request", caller_.id.value()},
-                    {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
-                    {"startMs", std::to_string(static_cast<int>(placement.startMs))},
-                    {"allowedMs", std::to_string(static_cast<int>(placement.allowedStartMs))}});
+                    {"promptTokens", whole(caller_.promptTokens)},
+                    {"startMs", whole(placement.startMs)},
+                    {"allowedMs", whole(placement.allowedStartMs)}});
     }
     callAt(now + HoldCheckPeriod, &RequestExchange::sendHeld);
     return true;
@@ -304,8 +315,8 @@
                 {"endpoint", send_->endpoint.id.value()},
                 {"send", std::to_string(facts_.sends)},
                 {"leftMs", std::to_string(order.timeLeft->count())},
-                {"readMs", std::to_string(static_cast<int>(send_->placement.readMs))},
-                {"expectedMs", std::to_string(static_cast<int>(send_->placement.firstEventMs))},
+                {"readMs", whole(send_->placement.readMs)},
+                {"expectedMs", whole(send_->placement.firstEventMs)},
                 {"helpers", helpers},
                 {"plan", std::to_string(plan_->version())}});
     context_.metrics.increment("lentillock_sends_total");
@@ -447,7 +458,7 @@
                     {"outcome", std::string(outcomeName(outcome))},
                     {"status", std::to_string(send_->head.status)},
                     {"atFault", send_->answer.endpointAtFault},
-                    {"afterMs", std::to_string(static_cast<int>(inMilliseconds(now - send_->sentAt)))},
+                    {"afterMs", whole(inMilliseconds(now - send_->sentAt))},
                     {"events", std::to_string(stream_.eventCount())},
                     {"mayHaveRun", facts_.mayHaveRun ? "yes" : "no"},
                     {"sendAgain", step == NextStep::SendAgain ? "yes" : "no"}});
@@ -468,7 +479,7 @@
         finish("endpoint-failure");
         break;
     case NextStep::RefuseNotRun:
-        refuse(503, "not_run", "no endpoint could take the request", std::min(RefusalPause, std::chrono::duration_cast<milliseconds>(deadline_ - now) / 3));
+        refuse(503, "not_run", "no endpoint could take the request", followablePause(RefusalPause, deadline_ - now));
         break;
     case NextStep::FailUnknown:
         refuse(502, "endpoint_failed", "the endpoint failed; the request may have run", std::nullopt);
@@ -579,7 +590,7 @@
     if (const auto firstEventAt = stream_.firstEventAt()) {
         const double waitedMs = inMilliseconds(*firstEventAt - request_.receivedAt);
         context_.metrics.observe("lentillock_first_event_seconds", waitedMs / 1000);
-        firstMs = std::to_string(static_cast<int>(waitedMs));
+        firstMs = whole(waitedMs);
     }
     Log::write(Log::Level::Info,
                "finished",
@@ -587,12 +598,12 @@
                 {"route", route},
                 {"workspace", workspace_.value()},
                 {"outcome", std::string(outcome)},
-                {"promptTokens", std::to_string(static_cast<long>(caller_.promptTokens))},
+                {"promptTokens", whole(caller_.promptTokens)},
                 {"sends", std::to_string(facts_.sends)},
                 {"events", std::to_string(stream_.eventCount())},
                 {"firstMs", firstMs},
-                {"pauseMs", std::to_string(static_cast<int>(inMilliseconds(stream_.longestPause())))},
-                {"totalMs", std::to_string(static_cast<int>(inMilliseconds(now - request_.receivedAt)))}});
+                {"pauseMs", whole(inMilliseconds(stream_.longestPause()))},
+                {"totalMs", whole(inMilliseconds(now - request_.receivedAt))}});
 }
 
 void RequestExchange::refuse(unsigned status, std::string_view code, std::string_view message, std::optional<milliseconds> retryAfter)
--- a/src/gateway/servingplan.cpp
+++ b/src/gateway/servingplan.cpp
@@ -74,11 +74,6 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
-const std::map<std::string, ServiceEntry, std::less<>> &ServingPlan::services() const
-{
-    return services_;
-}
-
 const WorkspaceEntry *ServingPlan::workspace(const std::string &key) const
 {
     const auto found = workspaceOfKey_.find(key);
--- a/src/gateway/servingplan.h
+++ b/src/gateway/servingplan.h
@@ -120,7 +120,6 @@
     /// The route of @p host with the longest prefix of @p path, or null.
     [[nodiscard]] const RouteEntry *route(std::string_view host, std::string_view path) const;
     [[nodiscard]] const ServiceEntry *service(std::string_view name) const;
-    [[nodiscard]] const std::map<std::string, ServiceEntry, std::less<>> &services() const;
 
     /// The workspace that holds @p key, or null.
     [[nodiscard]] const WorkspaceEntry *workspace(const std::string &key) const;
--- a/tests/gateway/relayedstreamtest.cpp
+++ b/tests/gateway/relayedstreamtest.cpp
@@ -19,7 +19,7 @@
 
 TEST(RelayedStreamTest, AnotherEndpointContinues_EventsOverlap_CallerGetsEachOnce)
 {
-    RelayedStream stream;
+    RelayedStream stream({});
     EXPECT_EQ(stream.accept({event(1), event(2)}, Start), "1;2;");
     EXPECT_EQ(stream.lastEventId(), 2U);
     EXPECT_EQ(stream.accept({event(2), event(3)}, Start + 1s), "3;");
@@ -29,8 +29,7 @@
 
 TEST(RelayedStreamTest, CallerContinues_EarlierEventsArrive_AreLeftOut)
 {
-    RelayedStream stream;
-    stream.startAfter(7);
+    RelayedStream stream(7);
     EXPECT_EQ(stream.accept({event(7)}, Start), "");
     EXPECT_FALSE(stream.firstEventAt());
     EXPECT_EQ(stream.accept({event(8)}, Start + 100ms), "8;");
@@ -39,7 +38,7 @@
 
 TEST(RelayedStreamTest, Pause_IsCountedBetweenEventsThatReachTheCaller)
 {
-    RelayedStream stream;
+    RelayedStream stream({});
     stream.accept({event(1)}, Start);
     stream.accept({event(1)}, Start + 300ms);
     EXPECT_EQ(stream.longestPause(), Duration::zero());
@@ -50,7 +49,7 @@
 
 TEST(RelayedStreamTest, EventsHaveNoIds_AllAreRelayed)
 {
-    RelayedStream stream;
+    RelayedStream stream({});
     EXPECT_EQ(stream.accept({{.bytes = "a", .id = {}}, {.bytes = "a", .id = {}}}, Start), "aa");
     EXPECT_FALSE(stream.lastEventId());
     EXPECT_EQ(stream.eventCount(), 2U);
