--- a/src/gateway/servingplan.h
+++ b/src/gateway/servingplan.h
@@ -42,7 +42,6 @@
     milliseconds timeout{0}; ///< Longest time until the answer is complete.
     milliseconds latencyObjective{0}; ///< For streams: until the first event.
     milliseconds pauseObjective{0}; ///< Longest pause between the events of a stream.
-    int priority = 0; ///< 0 is the most urgent.
     int maxAttempts = 1; ///< Endpoints to which one request may be sent.
     std::vector<ServiceShare> services;
 
@@ -84,7 +83,6 @@
 struct WorkspaceEntry {
     WorkspaceId name;
     std::vector<std::string> keys;
-    std::optional<int> priority; ///< Takes precedence over the priority of the route.
 
     auto operator<=>(const WorkspaceEntry &) const = default;
 };
--- a/tests/gateway/requestadmissiontest.cpp
+++ b/tests/gateway/requestadmissiontest.cpp
@@ -31,7 +31,7 @@
         ServingPlanParts parts;
         parts.routes = {closed, open, dangling};
         parts.services = {{.name = "engines", .engine = {}}, {.name = "other", .engine = {}}, {.name = "off", .engine = {}}};
-        parts.workspaces = {{.name = WorkspaceId("w"), .keys = {"k"}, .priority = {}}};
+        parts.workspaces = {{.name = WorkspaceId("w"), .keys = {"k"}}};
         plan_.emplace(std::move(parts));
     }
 
--- a/tests/gateway/servingplantest.cpp
+++ b/tests/gateway/servingplantest.cpp
@@ -25,7 +25,7 @@
         ServingPlanParts parts;
         parts.version = 7;
         parts.routes = {route("short", "/a/"), route("long", "/a/b/")};
-        parts.workspaces = {{.name = WorkspaceId("w1"), .keys = {"k1", "k2"}, .priority = {}}, {.name = WorkspaceId("w2"), .keys = {"k3"}, .priority = 1}};
+        parts.workspaces = {{.name = WorkspaceId("w1"), .keys = {"k1", "k2"}}, {.name = WorkspaceId("w2"), .keys = {"k3"}}};
         return ServingPlan(std::move(parts));
     }
 };
