GatewaySettings: Accept decimal numbers, with times in seconds

Cause: a bound of the platform that is a fraction was rendered into a setting that takes integers. The times of a serving document that are fractions were reported and replaced by their defaults.

--- a/src/base/settingsreader.cpp
+++ b/src/base/settingsreader.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <limits>
 #include <sstream>
 #include <utility>
 
@@ -28,18 +29,30 @@
     return error == std::errc() && stop == end && inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &parsed) == 1;
 }
 
-}
-
-std::string helpText(const std::vector<NumberSetting> &settings)
+template<typename Setting>
+std::string helpLines(const std::vector<Setting> &settings)
 {
     std::ostringstream text;
-    for (const NumberSetting &setting : settings) {
+    text.precision(std::numeric_limits<double>::digits10); // Without scientific notation for large limits.
+    for (const Setting &setting : settings) {
         text << "  " << setting.name << " (" << setting.unit << ", default " << setting.defaultValue << ", " << setting.minimum << " to " << setting.maximum
              << "): " << setting.description << '\n';
     }
     return text.str();
 }
 
+}
+
+std::string helpText(const std::vector<NumberSetting> &settings)
+{
+    return helpLines(settings);
+}
+
+std::string helpText(const std::vector<DecimalSetting> &settings)
+{
+    return helpLines(settings);
+}
+
 SettingsReader::SettingsReader(const boost::json::value &value, std::string source, Findings &findings)
     : JsonReader(value, std::move(source), "", findings)
 {
@@ -101,4 +114,13 @@
     return values;
 }
 
+std::map<std::string_view, double> SettingsReader::decimals(const std::vector<DecimalSetting> &settings)
+{
+    std::map<std::string_view, double> values;
+    for (const DecimalSetting &setting : settings) {
+        values[setting.name] = number(setting.name, setting.defaultValue, setting.minimum, setting.maximum);
+    }
+    return values;
+}
+
 }
--- a/src/base/settingsreader.h
+++ b/src/base/settingsreader.h
@@ -21,6 +21,16 @@
     const char *description;
 };
 
+/// The same for a setting that takes decimal numbers.
+struct DecimalSetting {
+    const char *name;
+    const char *unit;
+    double defaultValue;
+    double minimum;
+    double maximum;
+    const char *description;
+};
+
 /// Describes a setting that is a string or a list of strings, for the help text.
 struct TextSetting {
     const char *name;
@@ -30,6 +40,7 @@
 
 /// Returns one line of help text for each of @p settings.
 std::string helpText(const std::vector<NumberSetting> &settings);
+std::string helpText(const std::vector<DecimalSetting> &settings);
 
 /// Reads the settings of a daemon and adds a finding for each invalid one.
 class SettingsReader : public JsonReader
@@ -46,6 +57,7 @@
     /// An optional URL; empty if it is absent.
     std::string url(std::string_view name);
     std::map<std::string_view, std::int64_t> numbers(const std::vector<NumberSetting> &settings);
+    std::map<std::string_view, double> decimals(const std::vector<DecimalSetting> &settings);
 
 private:
     std::string checkedUrl(std::string_view name, std::string url);
--- a/src/gateway/fleetretrybudget.h
+++ b/src/gateway/fleetretrybudget.h
@@ -9,7 +9,7 @@
 namespace Lentillock
 {
 
-/// Limit on the retries of all VMs together; the settings repeatRatio, repeatSlack and repeatWindow.
+/// Limit on the retries of all VMs together; the settings repeatRatio, repeatSlack and repeatWindowSeconds.
 struct FleetRetryBudgetSettings {
     double ratio = 0.2; ///< Retries per request.
     double slack = 0; ///< Additional retries per window.
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -16,11 +16,20 @@
 const std::vector<NumberSetting> NumberSettings{
     {"peerPort", "port", 7340, 1, MaxPort, "UDP port for load reports between VMs; the same on all VMs."},
     {"metricsPort", "port", 7350, 1, MaxPort, "TCP port for /metrics and /state."},
-    {"drainGrace", "ms", 8000, 1000, 600000, "Time from the stop signal until the process is killed."},
-    {"repeatSlack", "sends", 102, 0, 1000000, "Repeated sends to one service in one window, of all VMs, beside the ratio."},
-    {"repeatWindow", "ms", 10000, 1000, 600000, "Length of the window in which repeated sends are counted."},
 };
 
+const std::vector<DecimalSetting> DecimalSettings{
+    {"drainGraceSeconds", "s", 8, 0.1, 3600, "Time from the stop signal until the process is killed."},
+    {"repeatRatio", "sends per request", 0.2, 0, 1000, "Repeated sends to one service for each of its requests."},
+    {"repeatSlack", "sends", 102, 0, 1e9, "Repeated sends to one service in one window, of all VMs, in addition to the ratio."},
+    {"repeatWindowSeconds", "s", 10, 0.1, 3600, "Length of the window in which repeated sends are counted."},
+};
+
+milliseconds fromSeconds(double seconds)
+{
+    return std::chrono::round<milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 }
 
 GatewaySettings GatewaySettings::read(const boost::json::value &value, const std::string &source, Findings &findings)
@@ -33,13 +42,14 @@
     settings.callerAddress = reader.address("callerAddress");
     settings.readinessAddress = reader.address("readinessAddress");
     settings.storeAddress = reader.address("storeAddress");
-    settings.retryBudget.ratio = reader.number("repeatRatio", settings.retryBudget.ratio, 0, 10);
     const auto numbers = reader.numbers(NumberSettings);
     settings.peerPort = static_cast<std::uint16_t>(numbers.at("peerPort"));
     settings.metricsPort = static_cast<std::uint16_t>(numbers.at("metricsPort"));
-    settings.drainGrace = milliseconds(numbers.at("drainGrace"));
-    settings.retryBudget.slack = static_cast<double>(numbers.at("repeatSlack"));
-    settings.retryBudget.window = milliseconds(numbers.at("repeatWindow"));
+    const auto decimals = reader.decimals(DecimalSettings);
+    settings.drainGrace = fromSeconds(decimals.at("drainGraceSeconds"));
+    settings.retryBudget.ratio = decimals.at("repeatRatio");
+    settings.retryBudget.slack = decimals.at("repeatSlack");
+    settings.retryBudget.window = fromSeconds(decimals.at("repeatWindowSeconds"));
     reader.finish();
     return settings;
 }
@@ -59,9 +69,7 @@
 
 std::string gatewaySettingsHelp()
 {
-    return "  vm, zone, ip, callerAddress, readinessAddress, storeAddress: required texts\n"
-           "  repeatRatio (sends per request, default 0.2, 0 to 10): Repeated sends to one service for each of its requests.\n"
-        + helpText(NumberSettings);
+    return "  vm, zone, ip, callerAddress, readinessAddress, storeAddress: required texts\n" + helpText(NumberSettings) + helpText(DecimalSettings);
 }
 
 }
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -49,6 +49,22 @@
     EXPECT_EQ(plan->workspace("k2")->name, WorkspaceId("w"));
 }
 
+// Guards against times that are replaced by their defaults because they are fractions.
+TEST(RecordsTest, Document_HasFractionsOfMilliseconds_AreRoundedUp)
+{
+    std::string text = Document;
+    for (const auto &[from, to] :
+         {std::pair("\"timeout_ms\":800", "\"timeout_ms\":812.5"), std::pair("\"header_timeout_ms\":3000", "\"header_timeout_ms\":0.5")}) {
+        text.replace(text.find(from), std::string(from).size(), to);
+    }
+    Findings findings;
+    const ServingPlanPointer plan = decodePlan(text, findings);
+    ASSERT_TRUE(plan);
+    EXPECT_FALSE(findings.hasErrors()) << findings.toText();
+    EXPECT_EQ(plan->route("h", "/b/")->timeout, 813ms);
+    EXPECT_EQ(plan->limits().headTimeout, 1ms);
+}
+
 TEST(RecordsTest, Document_IsNoObject_IsRejectedWithFinding)
 {
     Findings findings;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -76,7 +76,7 @@
         self.settings.write_text(json.dumps({
             "vm": f"vm-{index}", "zone": f"zone-{index % 2}", "ip": self.ip, "callerAddress": f"{self.ip}:{ports[0]}",
             "readinessAddress": f"{self.ip}:{ports[1]}", "storeAddress": store_address, "peerPort": ports[2], "metricsPort": ports[3],
-            "drainGrace": DRAIN_GRACE_MS}))
+            "drainGraceSeconds": DRAIN_GRACE_MS / 1000}))
         self.log = open(folder / f"gateway-{index}.log", "ab")
         self.binary = binary
         self.process = None
