PeerExchange: Report loads within groups and exchange digests between them

Cause: every VM sent its load to all others. With 195 VMs a VM could afford one report in 0.3 s, so that requests were placed on old loads, and the reports were most of the bytes between zones. A VM whose load did not change reported every 2.3 s and dropped out of the sums, of the ranks and of the peers after 2 s.

Change: the VMs of a zone form groups of at most 48 on average; a fleet of up to 16 VMs is one group. Reports go to the members of the group. One member, the reporter, sends a digest of changed sums to one relay in each other group every 60 ms, and the relay passes it on. A standby takes over when the reporter is silent, has lost its group, or does not reach another group. LoadExchange decides this without I/O; PeerTable divides the VMs into groups; DigestComposer selects the entries; ReportOrder rejects delayed reports and those of an earlier process without relying on the clock. Datagrams carry a checksum. Times of validity are multiples of the report interval.

--- a/src/gateway/fleetload.cpp
+++ b/src/gateway/fleetload.cpp
@@ -12,46 +12,30 @@
 namespace
 {
 
-/// Every VM reports at least twice within this time. The requests of a VM that does not are assumed to have ended with it.
-constexpr Duration PeerReportLifetime = 2s;
-
-/// Fraction of the pending prefill that is assumed to remain until the first event arrives, however late that is.
-constexpr double MinRemainingPrefillFraction = 0.1;
+/// The requests of a VM or group that has not reported for this long are assumed to have ended with it. A VM that is only slow or loses some
+/// datagrams reports several times within it.
+constexpr Duration ReportLifetime = 9 * PeriodicReportInterval;
 
 /// Time constant of the exponential average over the arrivals of short requests.
 constexpr double DemandWindowMs = 700;
 
-/// The other VMs report to a new VM within this time. Reports of the given fraction of them are sufficient before it has passed.
+/// The other VMs are known to a new VM within this time. Reports of the given fraction of them are sufficient before it has passed.
 constexpr Duration InitialReportWait = 1s;
 constexpr double MinReportedFraction = 0.7;
 
-}
-
-std::uint32_t endpointHash(const EndpointId &endpoint)
+/// Demand of @p shortDemand after @p age without new arrivals.
+double decayedDemand(double shortDemand, Duration age)
 {
-    return static_cast<std::uint32_t>(stableHash(endpoint.value()));
+    return shortDemand * std::exp(-inMilliseconds(age) / DemandWindowMs);
 }
 
-EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &other)
+/// Load that was received @p age ago, with the pending prefill as old as it is now.
+EndpointLoad agedLoad(EndpointLoad load, Duration age)
 {
-    requests += other.requests;
-    shortRequests += other.shortRequests;
-    longRequests += other.longRequests;
-    pendingPrefillMs += other.pendingPrefillMs;
-    pendingLongPrefillMs += other.pendingLongPrefillMs;
-    oldestPendingPrefillAgeMs = std::max(oldestPendingPrefillAgeMs, other.oldestPendingPrefillAgeMs);
-    memoryTokens += other.memoryTokens;
-    return *this;
-}
-
-double EndpointLoad::remainingPrefillMs() const
-{
-    return std::max(MinRemainingPrefillFraction * pendingPrefillMs, pendingPrefillMs - oldestPendingPrefillAgeMs);
+    load.oldestPendingPrefillAgeMs += load.pendingPrefillMs > 0 ? inMilliseconds(age) : 0;
+    return load;
 }
 
-double EndpointLoad::remainingLongPrefillMs() const
-{
-    return pendingPrefillMs > 0 ? remainingPrefillMs() * pendingLongPrefillMs / pendingPrefillMs : 0;
 }
 
 FleetLoad::Ticket FleetLoad::begin(const EndpointId &endpoint, const WorkItem &item, TimePoint now)
@@ -103,6 +87,43 @@
     }
 }
 
+void FleetLoad::removePeer(const VmId &peer)
+{
+    peers_.erase(peer);
+}
+
+void FleetLoad::applyGroupDigest(const VmGroup &group, std::size_t vmCount, const std::vector<EndpointLoadReport> &entries, double shortDemand, TimePoint now)
+{
+    std::erase_if(groups_, [&group](const auto &other) { return other.first != group && other.first.overlaps(group); });
+    GroupReport &known = groups_[group];
+    known.receivedAt = now;
+    known.shortDemand = shortDemand;
+    known.vmCount = vmCount;
+    for (const EndpointLoadReport &entry : entries) {
+        if (entry.load == EndpointLoad{}) {
+            known.entries.erase(entry.endpointHash);
+        } else {
+            known.entries.insert_or_assign(entry.endpointHash, GroupEntry{entry.load, now});
+        }
+    }
+}
+
+std::vector<EndpointLoadReport> FleetLoad::groupEntries(const VmGroup &group, TimePoint now) const
+{
+    std::vector<EndpointLoadReport> entries;
+    if (const auto found = groups_.find(group); found != groups_.end()) {
+        for (const auto &[hash, entry] : found->second.entries) {
+            entries.push_back({hash, agedLoad(entry.load, now - entry.receivedAt)});
+        }
+    }
+    return entries;
+}
+
+void FleetLoad::setOwnGroup(const VmGroup &ownGroup)
+{
+    std::erase_if(groups_, [&ownGroup](const auto &group) { return group.first.overlaps(ownGroup); });
+}
+
 void FleetLoad::setExpectedPeers(std::size_t count, TimePoint now)
 {
     firstListedAt_ = firstListedAt_.value_or(now);
@@ -116,13 +137,18 @@
     }
     // VMs that report no demand may have just started as well, in which case callers may reconnect to all of them at the same time.
     const bool peersReportDemand = totalShortDemand(now) > ownShortDemand(now);
-    const bool enoughPeersReported = static_cast<double>(peers_.size()) >= MinReportedFraction * static_cast<double>(expectedPeers_);
+    const bool enoughPeersReported = static_cast<double>(peerCount()) >= MinReportedFraction * static_cast<double>(expectedPeers_);
     return peersReportDemand && enoughPeersReported;
 }
 
 void FleetLoad::expirePeers(TimePoint now)
 {
-    std::erase_if(peers_, [now](const auto &peer) { return now - peer.second.receivedAt > PeerReportLifetime; });
+    const auto isExpired = [now](const auto &report) { return now - report.second.receivedAt > ReportLifetime; };
+    std::erase_if(peers_, isExpired);
+    std::erase_if(groups_, isExpired);
+    for (auto &[group, report] : groups_) {
+        std::erase_if(report.entries, isExpired);
+    }
 }
 
 EndpointLoad FleetLoad::ownLoad(const EndpointId &endpoint, TimePoint now) const
@@ -152,17 +178,32 @@
     EndpointLoad total = ownLoad(endpoint, now);
     const std::uint32_t hash = endpointHash(endpoint);
     for (const auto &[peer, report] : peers_) {
-        const auto found = report.loads.find(hash);
-        if (found == report.loads.end()) {
-            continue;
+        if (const auto found = report.loads.find(hash); found != report.loads.end()) {
+            total += agedLoad(found->second, now - report.receivedAt);
+        }
+    }
+    for (const auto &[group, report] : groups_) {
+        if (const auto found = report.entries.find(hash); found != report.entries.end()) {
+            total += agedLoad(found->second.load, now - found->second.receivedAt);
         }
-        EndpointLoad load = found->second;
-        load.oldestPendingPrefillAgeMs += load.pendingPrefillMs > 0 ? inMilliseconds(now - report.receivedAt) : 0;
-        total += load;
     }
     return total;
 }
 
+LoadSums FleetLoad::groupSums(TimePoint now) const
+{
+    LoadSums sums;
+    for (const EndpointLoadReport &own : ownReport(now)) {
+        sums[own.endpointHash] += own.load;
+    }
+    for (const auto &[peer, report] : peers_) {
+        for (const auto &[hash, load] : report.loads) {
+            sums[hash] += agedLoad(load, now - report.receivedAt);
+        }
+    }
+    return sums;
+}
+
 std::vector<EndpointLoadReport> FleetLoad::ownReport(TimePoint now) const
 {
     std::vector<EndpointLoadReport> report;
@@ -175,14 +216,23 @@
 
 double FleetLoad::ownShortDemand(TimePoint now) const
 {
-    return shortDemand_ * std::exp(-inMilliseconds(now - shortDemandAt_) / DemandWindowMs);
+    return decayedDemand(shortDemand_, now - shortDemandAt_);
 }
 
-double FleetLoad::totalShortDemand(TimePoint now) const
+double FleetLoad::groupShortDemand(TimePoint now) const
 {
     double total = ownShortDemand(now);
     for (const auto &[peer, report] : peers_) {
-        total += report.shortDemand * std::exp(-inMilliseconds(now - report.receivedAt) / DemandWindowMs);
+        total += decayedDemand(report.shortDemand, now - report.receivedAt);
+    }
+    return total;
+}
+
+double FleetLoad::totalShortDemand(TimePoint now) const
+{
+    double total = groupShortDemand(now);
+    for (const auto &[group, report] : groups_) {
+        total += decayedDemand(report.shortDemand, now - report.receivedAt);
     }
     return total;
 }
@@ -202,9 +252,27 @@
     return std::exchange(longPromptStarted_, false);
 }
 
-std::size_t FleetLoad::peerCount() const
+std::size_t FleetLoad::groupPeerCount() const
 {
     return peers_.size();
 }
 
+std::size_t FleetLoad::peerCount() const
+{
+    std::size_t count = peers_.size();
+    for (const auto &[group, report] : groups_) {
+        count += report.vmCount;
+    }
+    return count;
+}
+
+std::vector<Duration> FleetLoad::groupAges(TimePoint now) const
+{
+    std::vector<Duration> ages;
+    for (const auto &[group, report] : groups_) {
+        ages.push_back(now - report.receivedAt);
+    }
+    return ages;
+}
+
 }
--- a/src/gateway/fleetload.h
+++ b/src/gateway/fleetload.h
@@ -2,6 +2,9 @@
 
 #include "base/identifier.h"
 #include "base/time.h"
+#include "gateway/digestcomposer.h"
+#include "gateway/endpointload.h"
+#include "gateway/vmgroup.h"
 
 #include <cstdint>
 #include <map>
@@ -12,34 +15,8 @@
 namespace Lentillock
 {
 
-/// Requests that one VM, or all VMs together, have in progress on one endpoint.
-struct EndpointLoad {
-    double requests = 0; ///< Sent and not finished, without those that only use the endpoint as a helper.
-    double shortRequests = 0; ///< Requests with short prompts. A long prefill on the endpoint delays them.
-    double longRequests = 0; ///< Requests with long prompts that decode here, now or after their prefill.
-    double pendingPrefillMs = 0; ///< Total prefill time, by the engine model, of all prompts without a first event.
-    double pendingLongPrefillMs = 0; ///< The part of pendingPrefillMs that belongs to long prompts.
-    double oldestPendingPrefillAgeMs = 0; ///< Time since the first of these prompts was sent.
-    double memoryTokens = 0; ///< KV cache memory, in tokens.
-
-    auto operator<=>(const EndpointLoad &) const = default;
-    EndpointLoad &operator+=(const EndpointLoad &other);
-
-    /// Prefill time that remains. The endpoint computes one prompt at a time, regardless of the VM that sent it.
-    [[nodiscard]] double remainingPrefillMs() const;
-    [[nodiscard]] double remainingLongPrefillMs() const;
-};
-
-/// Load that one VM reports for one endpoint.
-struct EndpointLoadReport {
-    std::uint32_t endpointHash = 0;
-    EndpointLoad load;
-
-    auto operator<=>(const EndpointLoadReport &) const = default;
-};
-
-/// Hash of the endpoint ID that identifies the endpoint in load reports. Equal on all VMs.
-std::uint32_t endpointHash(const EndpointId &endpoint);
+/// Each VM reports its load at least this often to the VMs of its group, even if it has not changed.
+inline constexpr Duration PeriodicReportInterval = 300ms;
 
 /// What a request does on an endpoint.
 enum class WorkRole {
@@ -56,7 +33,8 @@
     WorkRole role = WorkRole::ShortPrompt;
 };
 
-/// Tracks the load of each endpoint: the requests of this VM exactly, those of other VMs as of their last report.
+/// Tracks the load of each endpoint: the requests of this VM exactly, those of the other VMs of its group as of their last report, and those of
+/// other groups as the sums of their last digest.
 class FleetLoad
 {
 public:
@@ -68,9 +46,22 @@
     void finishPrefill(Ticket ticket);
     void end(Ticket ticket);
 
-    /// Replaces the load reported by the VM @p peer.
+    /// Replaces the load reported by the VM @p peer of the own group.
     void applyPeerReport(const VmId &peer, const std::vector<EndpointLoadReport> &report, double shortDemand, TimePoint now);
 
+    /// Discards the load reported by @p peer, which no longer belongs to the own group.
+    void removePeer(const VmId &peer);
+
+    /// Replaces the sums of @p group, which has @p vmCount VMs, for the endpoints in @p entries. Groups that overlap with it are discarded, so that
+    /// no VM counts twice.
+    void applyGroupDigest(const VmGroup &group, std::size_t vmCount, const std::vector<EndpointLoadReport> &entries, double shortDemand, TimePoint now);
+
+    /// All sums of @p group, with the ages that they have now.
+    [[nodiscard]] std::vector<EndpointLoadReport> groupEntries(const VmGroup &group, TimePoint now) const;
+
+    /// Discards the sums of groups that overlap with @p ownGroup.
+    void setOwnGroup(const VmGroup &ownGroup);
+
     /// Sets the number of other VMs in the VM list.
     void setExpectedPeers(std::size_t count, TimePoint now);
 
@@ -85,8 +76,12 @@
     [[nodiscard]] EndpointLoad totalLoad(const EndpointId &endpoint, TimePoint now) const;
     [[nodiscard]] std::vector<EndpointLoadReport> ownReport(TimePoint now) const;
 
+    /// Loads of the own group: this VM and the VMs that report to it.
+    [[nodiscard]] LoadSums groupSums(TimePoint now) const;
+
     /// Expected number of concurrent short requests at the recent arrival rate, of this VM and of all VMs.
     [[nodiscard]] double ownShortDemand(TimePoint now) const;
+    [[nodiscard]] double groupShortDemand(TimePoint now) const;
     [[nodiscard]] double totalShortDemand(TimePoint now) const;
 
     /// Incremented with each change of this VM's own load.
@@ -97,9 +92,13 @@
     /// Returns hasStartedLongPrompt() and resets it.
     bool takeStartedLongPrompt();
 
-    /// Number of VMs whose reports are in use.
+    /// Number of other VMs whose loads are included, in the own group and in the fleet.
+    [[nodiscard]] std::size_t groupPeerCount() const;
     [[nodiscard]] std::size_t peerCount() const;
 
+    /// Time since the last digest of each other group.
+    [[nodiscard]] std::vector<Duration> groupAges(TimePoint now) const;
+
 private:
     struct Item {
         EndpointId endpoint;
@@ -113,9 +112,21 @@
         std::unordered_map<std::uint32_t, EndpointLoad> loads;
     };
 
+    struct GroupEntry {
+        EndpointLoad load;
+        TimePoint receivedAt;
+    };
+    struct GroupReport {
+        TimePoint receivedAt;
+        double shortDemand = 0;
+        std::size_t vmCount = 0;
+        std::unordered_map<std::uint32_t, GroupEntry> entries;
+    };
+
     std::map<Ticket, Item> items_;
     std::map<EndpointId, std::vector<Ticket>> ticketsByEndpoint_;
-    std::map<VmId, PeerReport> peers_;
+    std::map<VmId, PeerReport> peers_; ///< Reports of the VMs of the own group.
+    std::map<VmGroup, GroupReport> groups_; ///< Digests of the other groups.
     Ticket nextTicket_ = 1;
     double shortDemand_ = 0; ///< As of shortDemandAt_.
     TimePoint shortDemandAt_{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <cmath>
 #include <csignal>
 
 namespace Lentillock
@@ -54,7 +55,7 @@
         io_.poll();
         const TimePoint now = monotonicNow();
         context_.timers.advance(now);
-        peers_.scheduleReport(now);
+        peers_.sendDue(now);
     }
     const std::size_t open = callerConnections_.size();
     for (const auto &connection : openConnections()) {
@@ -208,6 +209,7 @@
     context_.metrics.setGauge("lentillock_endpoint_channels_opened", static_cast<double>(context_.connectionPool.openedCount()));
     context_.metrics.setGauge("lentillock_stale_endpoint_records", static_cast<double>(context_.directory.staleRecordCount()));
     context_.metrics.setGauge("lentillock_log_lines_dropped", static_cast<double>(Log::droppedLines()));
+    peers_.updateMetrics();
     context_.metrics.setGauge("lentillock_peer_vms", static_cast<double>(context_.fleetLoad.peerCount()));
 }
 
@@ -246,11 +248,19 @@
                                                 {"remainingReadMs", load.remainingPrefillMs()},
                                                 {"memoryTokens", load.memoryTokens}});
     }
+    boost::json::array groupAges;
+    for (const Duration age : context_.fleetLoad.groupAges(now)) {
+        groupAges.push_back(std::round(inMilliseconds(age)));
+    }
     return boost::json::serialize(boost::json::object{{"vm", context_.settings.vm.value()},
                                                       {"planVersion", context_.plan ? context_.plan->version() : 0},
                                                       {"draining", context_.drainingSince.has_value()},
                                                       {"callers", callerConnections_.size()},
                                                       {"peerVms", context_.fleetLoad.peerCount()},
+                                                      {"groupVms", context_.fleetLoad.groupPeerCount()},
+                                                      {"isReporter", peers_.exchange().isReporter()},
+                                                      {"readerRank", context_.readerRank},
+                                                      {"groupAgesMs", std::move(groupAges)},
                                                       {"endpoints", std::move(endpoints)}});
 }
 
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -1,8 +1,10 @@
 #include "gateway/peerexchange.h"
 
-#include "base/hash.h"
+#include "base/log.h"
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 namespace Lentillock
 {
@@ -12,26 +14,25 @@
 
 using boost::asio::ip::udp;
 
-/// Load changes within this time are combined into one report.
-constexpr Duration ReportDelay = 15ms;
+/// A VM that has read the store longer ago is not asked for its lists.
+constexpr Duration MaxPeerViewAge = 2s;
 
-/// Key of the rendezvous hash that ranks the VMs for reading the store.
-constexpr const char *ReaderRankKey = "store-reader";
+/// Label of each DatagramKind in the metrics.
+constexpr std::array<const char *, 4> KindNames{"report", "introduction", "digest", "forwarded-digest"};
 
-/// The delay is at least this time per peer, so that the total cost of the reports on a VM grows linearly with the fleet and not quadratically.
-constexpr Duration ReportDelayPerPeer = 1500us;
-
-/// A report is sent at least this often, even without changes. The interval is at least the given time per peer.
-constexpr Duration PeriodicReportInterval = 250ms;
-constexpr Duration PeriodicReportIntervalPerPeer = 12ms;
-
-/// A peer that has not reported for this long only gets the periodic reports.
-constexpr Duration PeerTimeout = 2s;
+ExchangeIdentity identityOf(const GatewaySettings &settings)
+{
+    return {.vm = settings.vm,
+            .zone = settings.zone,
+            .ip = boost::asio::ip::make_address_v4(settings.ip).to_uint(),
+            .incarnation = static_cast<std::uint32_t>(std::random_device()())};
+}
 
 }
 
 PeerExchange::PeerExchange(GatewayContext &context)
     : context_(context)
+    , exchange_(identityOf(context.settings), context.fleetLoad)
     , socket_(context.io)
 {
 }
@@ -41,49 +42,42 @@
     socket_.open(udp::v4());
     socket_.non_blocking(true);
     socket_.bind(udp::endpoint(boost::asio::ip::make_address_v4(context_.settings.ip), context_.settings.peerPort));
-    // Starting at the current time keeps the numbers above those of an earlier process on this VM.
-    sequence_ = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     receive();
-    schedulePeriodicReport(monotonicNow());
+    sendDue(monotonicNow());
 }
 
-void PeerExchange::schedulePeriodicReport(TimePoint now)
+void PeerExchange::sendDue(TimePoint now)
 {
-    const Duration delay = std::max(PeriodicReportInterval, PeriodicReportIntervalPerPeer * static_cast<int>(peers_.size()));
-    context_.timers.scheduleOnce(now + delay, [this](TimePoint due) {
-        updateReaderRank(due);
-        sendReport(due, true);
-        schedulePeriodicReport(due);
-    });
+    const bool wasReporter = exchange_.isReporter();
+    const std::vector<OutgoingDatagram> datagrams = exchange_.takeDue(ownView(now), now);
+    if (!datagrams.empty()) {
+        context_.readerRank = exchange_.readerRank(now);
+        send(datagrams);
+    }
+    if (exchange_.isReporter() != wasReporter) {
+        Log::write(Log::Level::Info, "group-reporter-changed", {{"isReporter", wasReporter ? "false" : "true"}});
+    }
+    scheduleTimer();
 }
 
-void PeerExchange::scheduleReport(TimePoint now)
+void PeerExchange::scheduleTimer()
 {
-    if (context_.fleetLoad.ownRevision() == reportedRevision_ || (reportScheduled_ && !context_.fleetLoad.hasStartedLongPrompt())) {
-        return;
-    }
-    if (context_.fleetLoad.takeStartedLongPrompt()) {
-        sendReport(now, false);
+    const TimePoint due = exchange_.nextDue();
+    if (timerDue_ && *timerDue_ <= due) {
         return;
     }
-    reportScheduled_ = true;
-    const Duration delay = std::max(ReportDelay, ReportDelayPerPeer * static_cast<int>(peers_.size()));
-    context_.timers.scheduleOnce(now + delay, [this](TimePoint due) {
-        reportScheduled_ = false;
-        sendReport(due, false);
+    timerDue_ = due;
+    context_.timers.scheduleOnce(due, [this, due](TimePoint now) {
+        if (timerDue_ == due) {
+            timerDue_.reset();
+        }
+        sendDue(now);
     });
 }
 
 void PeerExchange::addPeers(const std::vector<PeerVm> &peers, TimePoint now)
 {
-    for (const PeerVm &peer : peers) {
-        boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address_v4(peer.ip, error);
-        if (!error && peer.vm != context_.settings.vm) {
-            peers_[peer.vm].address = udp::endpoint(ip, context_.settings.peerPort);
-        }
-    }
-    context_.fleetLoad.setExpectedPeers(peers_.size(), now);
+    exchange_.addPeers(peers, now);
 }
 
 void PeerExchange::receive()
@@ -92,16 +86,13 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        const auto message = error ? std::nullopt : decodeLoadReport({buffer_.data(), size});
-        if (message && message->vm != context_.settings.vm) {
+        if (!error && sender_.address().is_v4()) {
             const TimePoint now = monotonicNow();
-            Peer &peer = peers_[message->vm];
-            // After PeerTimeout without a report, lower numbers are accepted as well: the VM may have restarted with its clock set back.
-            if (message->sequence > peer.lastSequence || now - peer.lastReportAt > PeerTimeout) {
-                peer = {.address = sender_, .lastSequence = message->sequence, .lastReportAt = now, .view = message->view};
-                compareViews(message->view, now);
-                context_.fleetLoad.applyPeerReport(message->vm, message->loads, message->shortDemand, now);
+            const LoadExchange::Received received = exchange_.receive({buffer_.data(), size}, sender_.address().to_v4().to_uint(), now);
+            if (received.view) {
+                compareViews(*received.view, now);
             }
+            send(received.datagrams);
         }
         receive();
     });
@@ -131,47 +122,42 @@
     }
 }
 
-void PeerExchange::updateReaderRank(TimePoint now)
+std::optional<std::string> PeerExchange::findUpToDatePeer(TimePoint now) const
 {
-    // All VMs that receive each other's reports compute the same order. VMs whose reports have stopped are left out.
-    const std::uint64_t own = rendezvousScore(ReaderRankKey, context_.settings.vm.value());
-    context_.readerRank = static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) {
-        return now - peer.second.lastReportAt < PeerTimeout && rendezvousScore(ReaderRankKey, peer.first.value()) > own;
-    }));
+    const auto ip = exchange_.freshestPeer(MaxPeerViewAge, now);
+    return ip ? std::optional(boost::asio::ip::address_v4(*ip).to_string()) : std::nullopt;
 }
 
-std::optional<std::string> PeerExchange::findUpToDatePeer(TimePoint now) const
+void PeerExchange::sendViewUpdate()
 {
-    const auto age = [now](const Peer &peer) { return peer.view.endpointAge + (now - peer.lastReportAt); };
-    const auto freshest
-        = std::min_element(peers_.begin(), peers_.end(), [&age](const auto &left, const auto &right) { return age(left.second) < age(right.second); });
-    if (freshest == peers_.end() || age(freshest->second) > PeerTimeout) {
-        return std::nullopt;
+    const TimePoint now = monotonicNow();
+    exchange_.requestReport(now);
+    sendDue(now);
+}
+
+void PeerExchange::updateMetrics()
+{
+    for (std::size_t kind = 0; kind < sentBytes_.size(); ++kind) {
+        if (const std::uint64_t bytes = std::exchange(sentBytes_.at(kind), 0); bytes > 0) {
+            context_.metrics.increment("lentillock_peer_bytes_sent_total", {{"kind", KindNames.at(kind)}}, bytes);
+        }
     }
-    return freshest->second.address.address().to_string();
 }
 
-void PeerExchange::sendViewUpdate()
+const LoadExchange &PeerExchange::exchange() const
 {
-    sendReport(monotonicNow(), false);
+    return exchange_;
 }
 
-void PeerExchange::sendReport(TimePoint now, bool includeUnresponsivePeers)
+void PeerExchange::send(const std::vector<OutgoingDatagram> &datagrams)
 {
-    reportedRevision_ = context_.fleetLoad.ownRevision();
-    const std::string bytes = encodeLoadReport({.vm = context_.settings.vm,
-                                                .sequence = ++sequence_,
-                                                .view = ownView(now),
-                                                .shortDemand = context_.fleetLoad.ownShortDemand(now),
-                                                .loads = context_.fleetLoad.ownReport(now)});
-    for (const auto &[vm, peer] : peers_) {
-        if (!includeUnresponsivePeers && now - peer.lastReportAt > PeerTimeout) {
-            continue;
-        }
+    for (const OutgoingDatagram &datagram : datagrams) {
         boost::system::error_code error;
-        socket_.send_to(boost::asio::buffer(bytes), peer.address, 0, error);
+        socket_.send_to(boost::asio::buffer(*datagram.bytes), udp::endpoint(boost::asio::ip::address_v4(datagram.ip), context_.settings.peerPort), 0, error);
         if (error) {
             context_.metrics.increment("lentillock_load_reports_dropped_total");
+        } else {
+            sentBytes_.at(static_cast<std::size_t>(datagram.kind)) += datagram.bytes->size();
         }
     }
 }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "gateway/gatewaycontext.h"
-#include "gateway/loadreportcodec.h"
+#include "gateway/loadexchange.h"
 
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,15 +13,7 @@
 namespace Lentillock
 {
 
-/// Address of another VM, as announced in the store.
-struct PeerVm {
-    VmId vm;
-    std::string ip;
-
-    auto operator<=>(const PeerVm &) const = default;
-};
-
-/// Exchanges load reports with the other VMs over UDP. Each report is complete, so the next one compensates for a lost one.
+/// Sends and receives the messages of LoadExchange over UDP, and compares the views of other VMs with that of this VM.
 class PeerExchange
 {
 public:
@@ -30,8 +21,8 @@
 
     void start();
 
-    /// Schedules a report if the load of this VM has changed since the last report. Called after each iteration of the event loop.
-    void scheduleReport(TimePoint now);
+    /// Sends what is due. Called after each iteration of the event loop.
+    void sendDue(TimePoint now);
 
     /// Returns the IP address of the VM that has read the store most recently, for use while this VM cannot reach the store.
     [[nodiscard]] std::optional<std::string> findUpToDatePeer(TimePoint now) const;
@@ -42,28 +33,25 @@
     /// Adds the VMs that are listed in the store as receivers of reports.
     void addPeers(const std::vector<PeerVm> &peers, TimePoint now);
 
+    /// Adds the bytes sent since the last call to the metrics.
+    void updateMetrics();
+
+    [[nodiscard]] const LoadExchange &exchange() const;
+
 private:
     void receive();
-    void sendReport(TimePoint now, bool includeUnresponsivePeers);
+    void send(const std::vector<OutgoingDatagram> &datagrams);
     void compareViews(const ViewReport &peer, TimePoint now);
     [[nodiscard]] ViewReport ownView(TimePoint now) const;
-    void schedulePeriodicReport(TimePoint now);
-    void updateReaderRank(TimePoint now);
+    void scheduleTimer();
 
     GatewayContext &context_;
+    LoadExchange exchange_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 2048> buffer_{};
-    struct Peer {
-        boost::asio::ip::udp::endpoint address;
-        std::uint32_t lastSequence = 0;
-        TimePoint lastReportAt{};
-        ViewReport view{};
-    };
-    std::map<VmId, Peer> peers_;
-    std::uint32_t sequence_ = 0;
-    std::uint64_t reportedRevision_ = 0;
-    bool reportScheduled_ = false;
+    std::optional<TimePoint> timerDue_; ///< Earliest scheduled call of sendDue().
+    std::array<std::uint64_t, 4> sentBytes_{}; ///< Since the last update of the metrics, by DatagramKind.
 };
 
 }
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -188,6 +188,9 @@
     placementRequest.shortDemand = context_.fleetLoad.totalShortDemand(now);
     placementRequest.timeLeftMs = inMilliseconds(deadline_ - now);
     placementRequest.loadsIncludePeers = context_.fleetLoad.includesPeers(now);
+    for (const Duration age : context_.fleetLoad.groupAges(now)) {
+        context_.metrics.observe("lentillock_group_load_age_seconds", std::chrono::duration<double>(age).count());
+    }
     placementRequest.pauseObjectiveMs = inMilliseconds(route_->pauseObjective);
     return placeGeneration(*service_->engine, choices, placementRequest);
 }
--- a/tests/gateway/fleetloadtest.cpp
+++ b/tests/gateway/fleetloadtest.cpp
@@ -2,6 +2,7 @@
 #include "gateway/loadreportcodec.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace Lentillock
 {
@@ -19,11 +20,42 @@
         return {.prefillMs = prefillMs, .memoryTokens = 1000, .role = WorkRole::LongPrompt};
     }
 
+    static EndpointLoadReport entry(double requests)
+    {
+        EndpointLoad load;
+        load.requests = requests;
+        return {endpointHash(Endpoint), load};
+    }
+
+    double totalRequests(TimePoint now)
+    {
+        return load_.totalLoad(Endpoint, now).requests;
+    }
+
     TimePoint start_ = TimePoint(1000s);
     FleetLoad load_;
     FleetLoad peer_;
 };
 
+GroupDigestMessage sampleDigest()
+{
+    GroupDigestMessage message{.group = {.zone = 1, .splitBits = 2, .part = 3}, .target = {.zone = 4}, .reporterHash = 5};
+    message.number = {.incarnation = 6, .sequence = 7};
+    message.mustForward = true;
+    message.vmCount = 39;
+    message.view = {.planVersion = 12, .endpointOffset = 34, .endpointDigest = 56, .planAge = 78ms, .endpointAge = 90ms};
+    message.viewOwnerIp = 8;
+    message.relays = {9, 10};
+    message.targetAge = 11ms;
+    message.shortDemand = 12.5;
+    for (std::uint32_t endpoint = 0; endpoint < MaxReportedEndpoints; ++endpoint) {
+        EndpointLoad load;
+        load.requests = endpoint;
+        message.loads.push_back({endpoint, load});
+    }
+    return message;
+}
+
 }
 
 // Guards against each VM aging its own prompts as if the endpoint computed those of all VMs in parallel. The VMs then underestimated the
@@ -83,6 +115,41 @@
     EXPECT_EQ(load_.peerCount(), 0U);
 }
 
+// Groups overlap while the VMs know different numbers of VMs. A VM must not count in both.
+TEST_F(FleetLoadTest, GroupSplits_DigestOfAPart_ReplacesTheWhole)
+{
+    const VmGroup whole{.zone = 7};
+    const VmGroup part{.zone = 7, .splitBits = 1, .part = 1};
+    load_.applyGroupDigest(whole, 40, {entry(10)}, 0, start_);
+    load_.applyGroupDigest({.zone = 8}, 40, {entry(5)}, 0, start_);
+    EXPECT_EQ(totalRequests(start_), 15);
+    load_.applyGroupDigest(part, 20, {entry(4)}, 0, start_);
+    EXPECT_EQ(totalRequests(start_), 9);
+    EXPECT_EQ(load_.peerCount(), 60U);
+    load_.setOwnGroup({.zone = 7, .splitBits = 2, .part = 2});
+    EXPECT_EQ(totalRequests(start_), 5);
+}
+
+TEST_F(FleetLoadTest, Group_StopsReporting_ItsLoadExpires)
+{
+    load_.applyGroupDigest({.zone = 7}, 40, {entry(10)}, 0, start_);
+    load_.expirePeers(start_ + 2s);
+    EXPECT_EQ(totalRequests(start_ + 2s), 10);
+    load_.expirePeers(start_ + 3s);
+    EXPECT_EQ(totalRequests(start_ + 3s), 0);
+    EXPECT_EQ(load_.peerCount(), 0U);
+}
+
+TEST_F(FleetLoadTest, GroupDigest_OmitsAnEndpoint_ItsSumStaysUntilItExpires)
+{
+    load_.applyGroupDigest({.zone = 7}, 40, {entry(10)}, 0, start_);
+    for (int step = 1; step <= 30; ++step) {
+        load_.applyGroupDigest({.zone = 7}, 40, {}, 0, start_ + step * 100ms);
+        load_.expirePeers(start_ + step * 100ms);
+        EXPECT_EQ(totalRequests(start_ + step * 100ms), step <= 27 ? 10 : 0) << step;
+    }
+}
+
 TEST_F(FleetLoadTest, ShortRequestsArrive_DemandFollowsRateAndLength)
 {
     TimePoint now = start_;
@@ -96,7 +163,7 @@
 
 TEST(LoadReportCodecTest, Report_IsEncodedAndDecoded_IsUnchanged)
 {
-    LoadReportMessage message{.vm = VmId("vm-1"), .sequence = 9};
+    LoadReportMessage message{.vm = VmId("vm-1"), .number = {.incarnation = 7, .sequence = 9}, .zone = 11, .startedLongPrompt = true};
     message.view = {.planVersion = 12, .endpointOffset = 34, .endpointDigest = 56, .planAge = 78ms, .endpointAge = 90ms};
     message.shortDemand = 12.5;
     EndpointLoad load{.requests = 3,
@@ -110,13 +177,43 @@
     EXPECT_EQ(decodeLoadReport(encodeLoadReport(message)), message);
 }
 
+TEST(LoadReportCodecTest, Digest_IsEncodedAndDecoded_IsUnchanged)
+{
+    const GroupDigestMessage message = sampleDigest();
+    EXPECT_EQ(decodeGroupDigest(encodeGroupDigest(message)), message);
+}
+
 TEST(LoadReportCodecTest, Datagram_IsTruncatedOrOfAnotherFormat_IsIgnored)
 {
-    const std::string bytes = encodeLoadReport({.vm = VmId("vm-1"), .sequence = 9});
+    const std::string bytes = encodeLoadReport({.vm = VmId("vm-1"), .number = {.sequence = 9}});
     for (std::size_t length = 0; length < bytes.size(); ++length) {
         EXPECT_FALSE(decodeLoadReport(bytes.substr(0, length)).has_value());
     }
     EXPECT_FALSE(decodeLoadReport("XXXX" + bytes.substr(4)).has_value());
+    EXPECT_FALSE(decodeGroupDigest(bytes).has_value());
+    EXPECT_FALSE(decodeLoadReport(bytes + 'x').has_value());
+}
+
+TEST(LoadReportCodecTest, Datagram_HasAnyChangedByte_IsIgnored)
+{
+    std::string report = encodeLoadReport({.vm = VmId("vm-1"), .number = {.sequence = 9}, .loads = sampleDigest().loads});
+    for (char &byte : report) {
+        byte = static_cast<char>(byte ^ 0x10);
+        EXPECT_FALSE(decodeLoadReport(report).has_value());
+        byte = static_cast<char>(byte ^ 0x10);
+    }
+    std::string digest = encodeGroupDigest(sampleDigest());
+    for (char &byte : digest) {
+        byte = static_cast<char>(byte ^ 0x10);
+        EXPECT_FALSE(decodeGroupDigest(digest).has_value());
+        byte = static_cast<char>(byte ^ 0x10);
+    }
+}
+
+RC_GTEST_PROP(LoadReportCodecTest, AnyBytes_AreDecoded_NothingIsAccepted, (const std::string &bytes))
+{
+    RC_ASSERT(!decodeLoadReport(bytes).has_value() && !decodeLoadReport("LTL4" + bytes).has_value());
+    RC_ASSERT(!decodeGroupDigest(bytes).has_value() && !decodeGroupDigest("LTD4" + bytes).has_value());
 }
 
 }
