PeerExchange: Send changes of the endpoint list to the group

Cause: as soon as one VM had read a change of the endpoint list, all others read it from the store as well.

Change: the first reader of each group reads, and sends the changes of the last 3 s that had an effect to the members of its group, together with its log offset and the digest of its list. The others wait 250 ms and more for them before they read the store themselves. Listed VMs count for the rank until their first report is overdue, and a VM without a VM list is not the first reader.

--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -32,6 +32,8 @@
 struct EndpointChange {
     EndpointId id;
     std::optional<EndpointRecord> record;
+
+    auto operator<=>(const EndpointChange &) const = default;
 };
 
 /// The platform's endpoint list as of the last read. Decides which endpoints may receive new requests.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <csignal>
 
@@ -40,6 +41,7 @@
     , signals_(io_, SIGTERM, SIGINT, SIGHUP)
     , peers_(context_)
 {
+    peers_.onEndpointUpdate = [this](const EndpointUpdate &update) { applyEndpointUpdate(update); };
 }
 
 void Gateway::run()
@@ -77,6 +79,59 @@
     Log::write(Log::Level::Info, "plan-applied", {{"version", std::to_string(plan->version())}, {"routes", std::to_string(plan->routeCount())}});
 }
 
+void Gateway::applyEndpointChanges(const std::vector<EndpointChange> &changes, std::uint32_t offset)
+{
+    const TimePoint now = monotonicNow();
+    if (recentEndpointChanges_.apply(context_.directory, changes, now)) {
+        onEndpointsChanged(now);
+        peers_.sendEndpointUpdate({.offset = offset, .digest = context_.directory.digest(), .changes = recentEndpointChanges_.list(now)});
+    }
+}
+
+void Gateway::replaceEndpoints(const std::vector<EndpointRecord> &records)
+{
+    const TimePoint now = monotonicNow();
+    const std::uint64_t revisionBefore = context_.directory.revision();
+    context_.directory.replace(records, now);
+    if (context_.directory.revision() != revisionBefore) {
+        onEndpointsChanged(now);
+    }
+}
+
+void Gateway::applyEndpointUpdate(const EndpointUpdate &update)
+{
+    // An older update must not undo what this VM has read itself.
+    if (update.offset <= context_.endpointOffset) {
+        return;
+    }
+    const TimePoint now = monotonicNow();
+    if (recentEndpointChanges_.apply(context_.directory, update.changes, now)) {
+        onEndpointsChanged(now);
+    }
+    if (context_.directory.digest() == update.digest) {
+        context_.endpointOffset = update.offset;
+        context_.endpointFreshness.recordUpdate(now);
+    }
+}
+
+void Gateway::onEndpointsChanged(TimePoint now)
+{
+    context_.connectionPool.prune(context_.directory, now);
+    for (const EndpointId &id : context_.directory.takeRestartedOrRemoved()) {
+        context_.health.forget(id);
+    }
+    Log::write(Log::Level::Info,
+               "endpoints-changed",
+               {{"revision", std::to_string(context_.directory.revision())}, {"known", std::to_string(context_.directory.all().size())}});
+}
+
+void Gateway::recordEndpointRead(std::uint32_t offset)
+{
+    context_.endpointOffset = std::max(context_.endpointOffset, offset);
+    context_.endpointFreshness.recordRead(monotonicNow());
+    peers_.sendViewUpdate();
+}
+
 GatewayContext &Gateway::context()
 {
     return context_;
@@ -210,6 +265,7 @@
     context_.metrics.setGauge("lentillock_stale_endpoint_records", static_cast<double>(context_.directory.staleRecordCount()));
     context_.metrics.setGauge("lentillock_log_lines_dropped", static_cast<double>(Log::droppedLines()));
     peers_.updateMetrics();
+    peers_.updateReaderRank(now);
     context_.metrics.setGauge("lentillock_peer_vms", static_cast<double>(context_.fleetLoad.peerCount()));
 }
 
@@ -259,7 +315,8 @@
                                                       {"peerVms", context_.fleetLoad.peerCount()},
                                                       {"groupVms", context_.fleetLoad.groupPeerCount()},
                                                       {"isReporter", peers_.exchange().isReporter()},
-                                                      {"readerRank", context_.readerRank},
+                                                      {"readsStoreFirst", context_.readerRank.inFleet == 0},
+                                                      {"readsStoreForGroup", context_.readerRank.inGroup == 0},
                                                       {"groupAgesMs", std::move(groupAges)},
                                                       {"endpoints", std::move(endpoints)}});
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,13 @@
     /// Replaces the serving plan, unless the current one has the same or a newer version.
     void applyPlan(const ServingPlanPointer &plan);
 
+    /// Applies changes of the endpoint list, or the whole list, that this VM has read from the store up to @p offset of the log.
+    void applyEndpointChanges(const std::vector<EndpointChange> &changes, std::uint32_t offset);
+    void replaceEndpoints(const std::vector<EndpointRecord> &records);
+
+    /// Records that this VM has read the endpoint list up to @p offset of the log.
+    void recordEndpointRead(std::uint32_t offset);
+
     /// Applies the settings that can change at run time: the drain grace period and the retry budget.
     void applySettings(const GatewaySettings &settings);
 
@@ -47,6 +54,8 @@
     [[nodiscard]] std::vector<std::shared_ptr<CallerHttpConnection>> openConnections() const;
     void stopIfDrained();
     void runMaintenance(TimePoint now);
+    void applyEndpointUpdate(const EndpointUpdate &update);
+    void onEndpointsChanged(TimePoint now);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] OperatorServer::Response handleOperatorRequest(std::string_view path) const;
     [[nodiscard]] std::string stateJson() const;
@@ -56,6 +65,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::signal_set signals_;
     PeerExchange peers_;
+    RecentEndpointChanges recentEndpointChanges_;
     std::unique_ptr<OperatorServer> readinessServer_;
     std::unique_ptr<OperatorServer> metricsServer_;
     std::map<CallerHttpConnection *, std::weak_ptr<CallerHttpConnection>> callerConnections_;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -27,6 +27,9 @@
 inline constexpr Duration EndpointPrimaryReadAge = 700ms;
 inline constexpr Duration EndpointBackupReadAge = 1100ms;
 
+/// Time for which a VM waits for the changes of the endpoint list that the first reader of its group has read.
+inline constexpr Duration EndpointUpdateWait = 250ms;
+
 /// State that the parts of a gateway share. All of them run on one thread.
 struct GatewayContext {
     GatewayContext(boost::asio::io_context &ioContext, GatewaySettings gatewaySettings, const WireProtocol &wireProtocol)
@@ -59,10 +62,10 @@
     ServingPlanPointer plan; ///< Null until the first version has been loaded.
     EndpointDirectory directory;
     EndpointConnectionPool connectionPool;
-    ViewFreshness planFreshness{PlanPrimaryReadAge, PlanBackupReadAge};
-    ViewFreshness endpointFreshness{EndpointPrimaryReadAge, EndpointBackupReadAge};
+    ViewFreshness planFreshness{PlanPrimaryReadAge, PlanBackupReadAge, Duration::zero()};
+    ViewFreshness endpointFreshness{EndpointPrimaryReadAge, EndpointBackupReadAge, EndpointUpdateWait};
     std::uint32_t endpointOffset = 0; ///< Log offset up to which the endpoint list has been read.
-    std::size_t readerRank = 0; ///< Position of this VM in the order in which VMs read the store; 0 reads first.
+    ReaderRank readerRank;
     FleetLoad fleetLoad;
     EndpointHealth health;
     FleetRetryBudget retryBudget;
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -79,7 +79,7 @@
 
 void LoadExchange::addPeers(const std::vector<PeerVm> &peers, TimePoint now)
 {
-    if (peers_.addListed(peers)) {
+    if (peers_.addListed(peers, now)) {
         introductionsSent_ = 0;
         introductionDue_ = now;
         updateOwnGroup();
@@ -164,12 +164,7 @@
     if (message.mustForward) {
         GroupDigestMessage copy = message;
         copy.mustForward = false;
-        const auto bytes = std::make_shared<const std::string>(encodeGroupDigest(copy));
-        for (const Peer *member : peers_.members()) {
-            if (member->isLive(now)) {
-                received.datagrams.push_back({member->ip, DatagramKind::ForwardedDigest, bytes});
-            }
-        }
+        received.datagrams = toGroup(encodeGroupDigest(copy), DatagramKind::ForwardedDigest, now);
     }
 }
 
@@ -386,7 +381,19 @@
     rank_ = rank;
 }
 
-std::size_t LoadExchange::readerRank(TimePoint now) const
+std::vector<OutgoingDatagram> LoadExchange::toGroup(std::string bytes, DatagramKind kind, TimePoint now) const
+{
+    std::vector<OutgoingDatagram> datagrams;
+    const auto shared = std::make_shared<const std::string>(std::move(bytes));
+    for (const Peer *member : peers_.members()) {
+        if (member->isLive(now)) {
+            datagrams.push_back({member->ip, kind, shared});
+        }
+    }
+    return datagrams;
+}
+
+ReaderRank LoadExchange::readerRank(TimePoint now) const
 {
     // Each group has a first reader. The readers of the groups that precede this one count as well.
     const std::uint64_t ownKey = keyOf(peers_.ownGroup());
@@ -394,7 +401,8 @@
         const RemoteGroup *remote = findRemote(group.first);
         return remote != nullptr && remote->isHeard(2 * digestTimeout(), now) && keyOf(group.first) > ownKey;
     });
-    return peers_.rank(ReaderKey, now) + static_cast<std::size_t>(precedingGroups);
+    const std::size_t inGroup = peers_.rank(ReaderKey, now);
+    return {.inFleet = inGroup + static_cast<std::size_t>(precedingGroups), .inGroup = inGroup};
 }
 
 std::optional<std::uint32_t> LoadExchange::freshestPeer(Duration maxAge, TimePoint now) const
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -20,6 +20,7 @@
     Introduction, ///< A report to another group.
     Digest,
     ForwardedDigest,
+    EndpointUpdate, ///< Changes of the endpoint list, to the own group.
 };
 
 /// A message to send to the VM with address @c ip.
@@ -67,8 +68,11 @@
     /// Makes a report due immediately, because this VM has read new data from the store.
     void requestReport(TimePoint now);
 
-    /// Position of this VM in the order in which the VMs of the fleet read the store; 0 reads first.
-    [[nodiscard]] std::size_t readerRank(TimePoint now) const;
+    /// Position of this VM in the orders in which the VMs of the fleet and of its group read the store.
+    [[nodiscard]] ReaderRank readerRank(TimePoint now) const;
+
+    /// Datagrams that carry @p bytes to the live VMs of the group.
+    [[nodiscard]] std::vector<OutgoingDatagram> toGroup(std::string bytes, DatagramKind kind, TimePoint now) const;
 
     /// The VM that has read the endpoint list most recently, unless that was longer than @p maxAge ago.
     [[nodiscard]] std::optional<std::uint32_t> freshestPeer(Duration maxAge, TimePoint now) const;
--- a/src/gateway/loadreportcodec.cpp
+++ b/src/gateway/loadreportcodec.cpp
@@ -1,6 +1,6 @@
 #include "gateway/loadreportcodec.h"
 
-#include "base/hash.h"
+#include "gateway/datagramchecksum.h"
 
 #include <boost/endian/buffers.hpp>
 
@@ -199,32 +199,19 @@
     return loads;
 }
 
-boost::endian::little_uint32_buf_t checksum(std::string_view bytes)
-{
-    return boost::endian::little_uint32_buf_t(static_cast<std::uint32_t>(stableHash(bytes)));
-}
-
-void appendChecksum(std::string &bytes)
-{
-    appendBytes(bytes, checksum(bytes));
-}
-
 /// Removes the header from the front of @p bytes and the checksum from their end. Returns std::nullopt if they are too short, do not begin with
 /// @p magic, or have been changed.
 template<typename Header>
 std::optional<Header> takeHeader(std::string_view &bytes, const std::array<char, 4> &magic)
 {
+    const auto message = bytes.size() >= magic.size() && std::equal(magic.begin(), magic.end(), bytes.begin()) ? verifyChecksum(bytes) : std::nullopt;
     Header header{};
-    boost::endian::little_uint32_buf_t expected{};
-    if (bytes.size() < sizeof(header) + sizeof(expected) || !std::equal(magic.begin(), magic.end(), bytes.begin())) {
+    if (!message || message->size() < sizeof(header)) {
         return std::nullopt;
     }
-    std::memcpy(&header, bytes.data(), sizeof(header));
-    std::memcpy(&expected, bytes.data() + bytes.size() - sizeof(expected), sizeof(expected));
-    bytes.remove_suffix(sizeof(expected));
-    const bool isIntact = checksum(bytes).value() == expected.value();
-    bytes.remove_prefix(sizeof(header));
-    return isIntact ? std::optional(header) : std::nullopt;
+    std::memcpy(&header, message->data(), sizeof(header));
+    bytes = message->substr(sizeof(header));
+    return header;
 }
 
 }
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -18,7 +18,7 @@
 constexpr Duration MaxPeerViewAge = 2s;
 
 /// Label of each DatagramKind in the metrics.
-constexpr std::array<const char *, 4> KindNames{"report", "introduction", "digest", "forwarded-digest"};
+constexpr std::array<const char *, 5> KindNames{"report", "introduction", "digest", "forwarded-digest", "endpoint-update"};
 
 ExchangeIdentity identityOf(const GatewaySettings &settings)
 {
@@ -51,7 +51,6 @@
     const bool wasReporter = exchange_.isReporter();
     const std::vector<OutgoingDatagram> datagrams = exchange_.takeDue(ownView(now), now);
     if (!datagrams.empty()) {
-        context_.readerRank = exchange_.readerRank(now);
         send(datagrams);
     }
     if (exchange_.isReporter() != wasReporter) {
@@ -78,6 +77,8 @@
 void PeerExchange::addPeers(const std::vector<PeerVm> &peers, TimePoint now)
 {
     exchange_.addPeers(peers, now);
+    hasVmList_ = true;
+    updateReaderRank(now);
 }
 
 void PeerExchange::receive()
@@ -87,17 +88,36 @@
             return;
         }
         if (!error && sender_.address().is_v4()) {
-            const TimePoint now = monotonicNow();
-            const LoadExchange::Received received = exchange_.receive({buffer_.data(), size}, sender_.address().to_v4().to_uint(), now);
-            if (received.view) {
-                compareViews(*received.view, now);
-            }
-            send(received.datagrams);
+            receiveDatagram({buffer_.data(), size}, monotonicNow());
         }
         receive();
     });
 }
 
+void PeerExchange::receiveDatagram(std::string_view bytes, TimePoint now)
+{
+    const std::uint32_t senderIp = sender_.address().to_v4().to_uint();
+    if (const auto update = decodeEndpointUpdate(bytes)) {
+        if (onEndpointUpdate && exchange_.peers().isMemberAddress(senderIp)) {
+            onEndpointUpdate(*update);
+        }
+        return;
+    }
+    const LoadExchange::Received received = exchange_.receive(bytes, senderIp, now);
+    if (received.view) {
+        compareViews(*received.view, now);
+    }
+    send(received.datagrams);
+}
+
+void PeerExchange::sendEndpointUpdate(const EndpointUpdate &update)
+{
+    const TimePoint now = monotonicNow();
+    for (std::string &bytes : encodeEndpointUpdate(update)) {
+        send(exchange_.toGroup(std::move(bytes), DatagramKind::EndpointUpdate, now));
+    }
+}
+
 ViewReport PeerExchange::ownView(TimePoint now) const
 {
     return {.planVersion = context_.plan ? context_.plan->version() : 0,
@@ -113,12 +133,12 @@
     if (peer.planVersion == own.planVersion) {
         context_.planFreshness.recordConfirmation(peer.planAge, now);
     } else if (peer.planVersion > own.planVersion) {
-        context_.planFreshness.markOutdated();
+        context_.planFreshness.markOutdated(now);
     }
     if (peer.endpointDigest == own.endpointDigest) {
         context_.endpointFreshness.recordConfirmation(peer.endpointAge, now);
     } else if (peer.endpointOffset > own.endpointOffset) {
-        context_.endpointFreshness.markOutdated();
+        context_.endpointFreshness.markOutdated(now);
     }
 }
 
@@ -135,6 +155,13 @@
     sendDue(now);
 }
 
+void PeerExchange::updateReaderRank(TimePoint now)
+{
+    if (hasVmList_) {
+        context_.readerRank = exchange_.readerRank(now);
+    }
+}
+
 void PeerExchange::updateMetrics()
 {
     for (std::size_t kind = 0; kind < sentBytes_.size(); ++kind) {
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "gateway/endpointupdate.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/loadexchange.h"
 
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,9 +32,18 @@
     /// Sends a report at once, because this VM has read new data from the store.
     void sendViewUpdate();
 
+    /// Sends changes of the endpoint list to the VMs of the group.
+    void sendEndpointUpdate(const EndpointUpdate &update);
+
+    /// Called when another VM has sent changes of the endpoint list.
+    std::function<void(const EndpointUpdate &)> onEndpointUpdate;
+
     /// Adds the VMs that are listed in the store as receivers of reports.
     void addPeers(const std::vector<PeerVm> &peers, TimePoint now);
 
+    /// Updates the rank of this VM among those that read the store. Called periodically.
+    void updateReaderRank(TimePoint now);
+
     /// Adds the bytes sent since the last call to the metrics.
     void updateMetrics();
 
@@ -40,6 +51,7 @@
 
 private:
     void receive();
+    void receiveDatagram(std::string_view bytes, TimePoint now);
     void send(const std::vector<OutgoingDatagram> &datagrams);
     void compareViews(const ViewReport &peer, TimePoint now);
     [[nodiscard]] ViewReport ownView(TimePoint now) const;
@@ -50,8 +62,9 @@
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 2048> buffer_{};
+    bool hasVmList_ = false;
     std::optional<TimePoint> timerDue_; ///< Earliest scheduled call of sendDue().
-    std::array<std::uint64_t, 4> sentBytes_{}; ///< Since the last update of the metrics, by DatagramKind.
+    std::array<std::uint64_t, 5> sentBytes_{}; ///< Since the last update of the metrics, by DatagramKind.
 };
 
 }
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -31,6 +31,11 @@
     return lastReportAt && now - *lastReportAt < LiveTime;
 }
 
+bool Peer::mayBeLive(TimePoint now) const
+{
+    return isLive(now) || (!lastReportAt && now - addedAt < LiveTime);
+}
+
 PeerTable::PeerTable(const VmId &ownVm, std::uint32_t ownZone)
     : ownVm_(ownVm)
     , ownHash_(stableHash(ownVm.value()))
@@ -40,7 +45,7 @@
     divideIntoGroups();
 }
 
-bool PeerTable::addListed(const std::vector<PeerVm> &list)
+bool PeerTable::addListed(const std::vector<PeerVm> &list, TimePoint now)
 {
     bool foundNew = false;
     for (const PeerVm &vm : list) {
@@ -49,7 +54,7 @@
         if (error || vm.vm == ownVm_) {
             continue;
         }
-        const auto [found, isNew] = peers_.try_emplace(vm.vm, Peer{.vm = vm.vm, .hash = stableHash(vm.vm.value())});
+        const auto [found, isNew] = peers_.try_emplace(vm.vm, Peer{.vm = vm.vm, .hash = stableHash(vm.vm.value()), .addedAt = now});
         Peer &peer = found->second;
         const std::uint32_t zone = vm.zone.isEmpty() ? peer.zone : zoneHash(vm.zone);
         const auto previousZone = isNew ? std::nullopt : std::optional(peer.zone);
@@ -66,7 +71,7 @@
     if (message.vm == ownVm_) {
         return nullptr;
     }
-    const auto [found, isNew] = peers_.try_emplace(message.vm, Peer{.vm = message.vm, .hash = stableHash(message.vm.value())});
+    const auto [found, isNew] = peers_.try_emplace(message.vm, Peer{.vm = message.vm, .hash = stableHash(message.vm.value()), .addedAt = now});
     Peer &peer = found->second;
     if (!peer.order.accept(message.number)) {
         return nullptr;
@@ -110,11 +115,16 @@
     return std::find(members_.begin(), members_.end(), &peer) != members_.end();
 }
 
+bool PeerTable::isMemberAddress(std::uint32_t ip) const
+{
+    return std::any_of(members_.begin(), members_.end(), [ip](const Peer *member) { return member->ip == ip; });
+}
+
 std::size_t PeerTable::rank(std::uint64_t key, TimePoint now) const
 {
     const auto own = score(key, ownHash_);
     return static_cast<std::size_t>(
-        std::count_if(members_.begin(), members_.end(), [&](const Peer *peer) { return peer->isLive(now) && score(key, peer->hash) > own; }));
+        std::count_if(members_.begin(), members_.end(), [&](const Peer *peer) { return peer->mayBeLive(now) && score(key, peer->hash) > own; }));
 }
 
 RelayAddresses PeerTable::chooseRelays(std::uint64_t key, std::uint32_t ownIp, TimePoint now) const
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -27,11 +27,14 @@
     std::uint32_t ip = 0; ///< IPv4 address in host byte order.
     std::uint32_t zone = 0; ///< Hash of its zone; 0 if unknown.
     ReportOrder order{};
+    TimePoint addedAt{}; ///< When it became known.
     std::optional<TimePoint> lastReportAt{};
     ViewReport view{};
 
     /// Whether the VM has reported recently.
     [[nodiscard]] bool isLive(TimePoint now) const;
+    /// Whether it has, or has become known so recently that its first report may still come.
+    [[nodiscard]] bool mayBeLive(TimePoint now) const;
 };
 
 /// The other VMs of the fleet and their division into groups.
@@ -41,7 +44,7 @@
     PeerTable(const VmId &ownVm, std::uint32_t ownZone);
 
     /// Adds the VMs of the VM list, or updates their addresses. Entries without a valid address are ignored. Returns whether any was unknown.
-    bool addListed(const std::vector<PeerVm> &list);
+    bool addListed(const std::vector<PeerVm> &list, TimePoint now);
 
     /// Records a report of a VM of any group. Returns null if the report is outdated.
     const Peer *recordReport(const LoadReportMessage &message, std::uint32_t ip, TimePoint now);
@@ -56,8 +59,9 @@
     [[nodiscard]] const std::map<VmGroup, std::vector<const Peer *>> &otherGroups() const;
 
     [[nodiscard]] bool isMember(const Peer &peer) const;
+    [[nodiscard]] bool isMemberAddress(std::uint32_t ip) const;
 
-    /// Number of live members of the own group that precede this VM in the order for @p key. The members compute the same order.
+    /// Number of members of the own group that may be live and precede this VM in the order for @p key. The members compute the same order.
     [[nodiscard]] std::size_t rank(std::uint64_t key, TimePoint now) const;
 
     /// Live members, and this VM, with the highest ranks for @p key.
--- a/src/gateway/viewfreshness.cpp
+++ b/src/gateway/viewfreshness.cpp
@@ -14,11 +14,18 @@
 /// Limits the wait of the last ranks, so that the age of every view stays bounded when many VMs fail together.
 constexpr std::size_t MaxRank = 4;
 
+/// Additional time that the VM with @p rank waits, for ranks from 1.
+Duration backupDelay(std::size_t rank)
+{
+    return ReadDelayPerRank * static_cast<int>(std::min(rank, MaxRank) - 1);
+}
+
 }
 
-ViewFreshness::ViewFreshness(Duration primaryReadAge, Duration backupReadAge)
+ViewFreshness::ViewFreshness(Duration primaryReadAge, Duration backupReadAge, Duration updateWait)
     : primaryReadAge_(primaryReadAge)
     , backupReadAge_(backupReadAge)
+    , updateWait_(updateWait)
 {
 }
 
@@ -26,7 +33,7 @@
 {
     readAt_ = now;
     confirmedAt_ = now;
-    isOutdated_ = false;
+    outdatedSince_.reset();
 }
 
 void ViewFreshness::recordConfirmation(Duration age, TimePoint now)
@@ -34,15 +41,24 @@
     confirmedAt_ = std::max(confirmedAt_, now - age);
 }
 
-void ViewFreshness::markOutdated()
+void ViewFreshness::markOutdated(TimePoint now)
 {
-    isOutdated_ = true;
+    outdatedSince_ = outdatedSince_.value_or(now);
+}
+
+void ViewFreshness::recordUpdate(TimePoint now)
+{
+    confirmedAt_ = now;
+    outdatedSince_.reset();
 }
 
-bool ViewFreshness::isReadDue(std::size_t rank, TimePoint now) const
+bool ViewFreshness::isReadDue(const ReaderRank &rank, TimePoint now) const
 {
-    const Duration due = rank == 0 ? primaryReadAge_ : backupReadAge_ + ReadDelayPerRank * static_cast<int>(std::min(rank, MaxRank) - 1);
-    return isOutdated_ || now - confirmedAt_ >= due;
+    if (outdatedSince_) {
+        const bool waitsForUpdate = updateWait_ > Duration::zero() && rank.inGroup > 0;
+        return !waitsForUpdate || now - *outdatedSince_ >= updateWait_ + backupDelay(rank.inGroup);
+    }
+    return now - confirmedAt_ >= (rank.inFleet == 0 ? primaryReadAge_ : backupReadAge_ + backupDelay(rank.inFleet));
 }
 
 milliseconds ViewFreshness::readAge(TimePoint now) const
--- a/tests/gateway/loadexchangetest.cpp
+++ b/tests/gateway/loadexchangetest.cpp
@@ -163,6 +163,30 @@
     EXPECT_LE(betweenZones, 10'000'000U);
 }
 
+TEST_F(LoadExchangeTest, Fleet_IsRunning_OneVmReadsTheStoreFirst_AndOneInEachGroup)
+{
+    startFleet(100);
+    std::size_t firstInFleet = 0;
+    std::size_t firstInGroup = 0;
+    for (std::size_t vm = 0; vm < vmCount_; ++vm) {
+        const ReaderRank rank = fleet_->exchange(vm).readerRank(fleet_->now());
+        firstInFleet += rank.inFleet == 0 ? 1 : 0;
+        firstInGroup += rank.inGroup == 0 ? 1 : 0;
+    }
+    EXPECT_EQ(firstInFleet, 1U);
+    EXPECT_EQ(firstInGroup, ZoneCount);
+}
+
+// Guards against all VMs of a fleet that starts reading the store because none has heard of the others yet.
+TEST_F(LoadExchangeTest, FleetHasJustStarted_ListedVms_CountForTheRank)
+{
+    fleet_ = std::make_unique<LoadExchangeSimulation>(LoadExchangeSimulation::Options{.vmCount = 16});
+    for (std::size_t vm = 0; vm < 16; ++vm) {
+        fleet_->start(vm);
+    }
+    EXPECT_GT(fleet_->exchange(15).readerRank(fleet_->now()).inGroup + fleet_->exchange(14).readerRank(fleet_->now()).inGroup, 0U);
+}
+
 TEST_F(LoadExchangeTest, Reporter_Dies_StandbyTakesOver)
 {
     startFleet(100, 0);
