HttpClientConnection: Limit responses that never end

Cause: an endpoint in trouble may send bytes that are no response until its connection is closed. The parser limits heads and bodies, but not chunk headers, chunk extensions and trailers: 64 MiB of each were collected in memory. Interim responses and responses to other requests were skipped without limit, and a body could have 256 MiB on VMs of 160 MB.

Beyond that the connection is closed and the attempt fails, as for other malformed responses.

The check of the reader applies to callers as well.

The soak takes the number of gateways (--gateways) and checks that every gateway includes the loads of all others after the faults; a run with 24 gateways, which form groups, is a test.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -14,8 +14,6 @@
 
 using boost::asio::ip::tcp;
 
-constexpr HttpReadLimits ResponseLimits{.headBytes = 65536, .bodyBytes = 256ULL * 1024 * 1024};
-
 /// Idle time after which the kernel sends keep-alive probes, the interval between them, and the number of lost probes that closes the connection.
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
@@ -30,6 +28,9 @@
 /// Subtracted from the idle timeout that the server states, because the server may already be closing the connection.
 constexpr Duration IdleTimeoutMargin = 500ms;
 
+/// Interim responses, and responses to other requests, that may precede the response of one exchange. A server that fails may send them without end.
+constexpr int MaxIgnoredResponses = 16;
+
 constexpr std::string_view TimeoutParameter = "timeout=";
 
 Duration idleTimeout(const HttpHead &head)
@@ -60,12 +61,12 @@
     socket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(UnacknowledgedTimeoutMs), ignored);
 }
 
-HttpClientConnection::HttpClientConnection(boost::asio::io_context &context, tcp::endpoint remote, Duration connectTimeout)
+HttpClientConnection::HttpClientConnection(boost::asio::io_context &context, tcp::endpoint remote, Duration connectTimeout, HttpReadLimits limits)
     : socket_(context)
     , connectTimer_(context)
     , remote_(std::move(remote))
     , connectTimeout_(connectTimeout)
-    , reader_(ResponseLimits)
+    , reader_(limits)
 {
 }
 
@@ -76,6 +77,7 @@
     exchangeActive_ = true;
     headHandled_ = false;
     skippingResponse_ = false;
+    ignoredResponses_ = 0;
     if (request_.starts_with("HEAD ")) {
         reader_.expectNoBody();
     }
@@ -221,6 +223,10 @@
             finish();
             return;
         }
+        if (++ignoredResponses_ > MaxIgnoredResponses) {
+            fail(ExchangeFailure::Malformed);
+            return;
+        }
         headHandled_ = false;
         skippingResponse_ = false;
         reader_.next();
--- a/src/gateway/httpclientconnection.h
+++ b/src/gateway/httpclientconnection.h
@@ -18,7 +18,7 @@
 enum class ExchangeFailure {
     NotConnected, ///< The connection could not be established; no byte of the request was sent.
     Broken, ///< The connection was closed or reset, or the peer stopped acknowledging data.
-    Malformed, ///< The received bytes are not a valid HTTP response.
+    Malformed, ///< The received bytes are not a valid HTTP response, or exceed a limit.
 };
 
 /// What to do with a response whose head has arrived.
@@ -27,6 +27,9 @@
     Skip, ///< It belongs to another request; discard it and wait for the next response on the connection.
 };
 
+/// Limits on the size of one response. VMs have as little as 160 MB of memory, and some responses are collected whole.
+inline constexpr HttpReadLimits DefaultResponseLimits{.headBytes = 64 * 1024, .bodyBytes = 8 * 1024 * 1024};
+
 /// Sets the socket options that detect a dead peer (keep-alive probes, a timeout for unacknowledged data) and disables Nagle's algorithm.
 void setKeepAliveOptions(boost::asio::ip::tcp::socket &socket);
 
@@ -41,7 +44,10 @@
         std::function<void(ExchangeFailure)> onFailed;
     };
 
-    HttpClientConnection(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint remote, Duration connectTimeout);
+    HttpClientConnection(boost::asio::io_context &context,
+                         boost::asio::ip::tcp::endpoint remote,
+                         Duration connectTimeout,
+                         HttpReadLimits limits = DefaultResponseLimits);
 
     /// Sends @p request, after connecting if necessary. Exactly one of onFinished and onFailed is called, unless close() is called first.
     void exchange(std::string request, Handlers handlers);
@@ -81,6 +87,7 @@
     bool reading_ = false;
     bool headHandled_ = false;
     bool skippingResponse_ = false;
+    int ignoredResponses_ = 0; ///< Interim and skipped responses of this exchange.
     TimePoint reusableUntil_{};
 };
 
--- a/src/gateway/httpreader.cpp
+++ b/src/gateway/httpreader.cpp
@@ -125,6 +125,10 @@
         }
     }
     pending_.erase(0, used);
+    // The parser does not limit chunk headers and trailers, and takes them only when they are complete.
+    if (!error_ && !parser_->is_done() && pending_.size() > limits_.headBytes) {
+        error_ = http::error::header_limit;
+    }
 }
 
 template<bool IsRequest>
--- a/src/gateway/httpreader.h
+++ b/src/gateway/httpreader.h
@@ -85,7 +85,7 @@
 
 /// Limits on the size of one message, in bytes.
 struct HttpReadLimits {
-    std::uint32_t headBytes = 0;
+    std::uint32_t headBytes = 0; ///< Of the head, of one chunk header, and of the trailer.
     std::uint64_t bodyBytes = 0;
 };
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,7 +20,8 @@
 
 from standins import Endpoint, Proxy, Store, expected_body, expected_event, read_message
 
-GATEWAYS = 3
+DEFAULT_GATEWAYS = 3
+MIN_CALLERS = 12
 ENDPOINTS = 4
 ROUTE_TIMEOUT = 2.0
 TOLERANCE = 0.75  # A response may arrive 0.5 s after the route's timeout; the other 0.25 s cover scheduling delays.
@@ -72,6 +73,7 @@
     def __init__(self, binary, index, ports, store_address, folder):
         self.ip = f"127.0.0.{index + 2}"
         self.port = ports[0]
+        self.metrics_port = ports[3]
         self.settings = folder / f"gateway-{index}.json"
         self.settings.write_text(json.dumps({
             "vm": f"vm-{index}", "zone": f"zone-{index % 2}", "ip": self.ip, "callerAddress": f"{self.ip}:{ports[0]}",
@@ -96,8 +98,9 @@
 
 
 class SoakTest:
-    def __init__(self, binary, seed, seconds, folder):
+    def __init__(self, binary, seed, seconds, folder, gateway_count):
         self.random = random.Random(seed)
+        self.gateway_count = gateway_count
         self.seconds = seconds
         self.checker = InvariantChecker()
         self.store = Store()
@@ -151,7 +154,7 @@
         for _ in range(ENDPOINTS):
             await self.add_endpoint()
         ports = free_ports(4)
-        for index in range(GATEWAYS):
+        for index in range(self.gateway_count):
             proxy = Proxy(self.store.port)
             await proxy.start()
             self.store_proxies.append(proxy)
@@ -264,7 +267,7 @@
             count += 1
             kind = rng.choice(["once", "safe", "stream"])
             request_id = f"{caller_id}-{count}"
-            gateway = self.gateways[caller_id % GATEWAYS]
+            gateway = self.gateways[caller_id % self.gateway_count]
             started_at = time.monotonic()
             in_recovery = self.recovery_started
             try:
@@ -350,7 +353,7 @@
         self.stopping = False
         await self.set_up()
         self.started_at = time.monotonic()
-        callers = [asyncio.ensure_future(self.run_caller(number)) for number in range(12)]
+        callers = [asyncio.ensure_future(self.run_caller(number)) for number in range(max(MIN_CALLERS, self.gateway_count))]
         await self.inject_faults()
         self.stopping = True
         await asyncio.gather(*callers)
@@ -360,10 +363,25 @@
         share = self.recovery["served"] / max(1, self.recovery["asked"])
         if share < MIN_RECOVERY_SHARE:
             self.checker.report_violation("RECOVER", f"after the faults {self.recovery['served']} of {self.recovery['asked']} were served")
+        await self.check_known_peers()
         await self.stop_gateways()
         for server in [self.store, *self.endpoints, *self.proxies.values(), *self.store_proxies]:
             server.stop()
 
+    async def check_known_peers(self):
+        """After the faults every gateway must include the loads of all others again."""
+        for gateway in self.gateways:
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(gateway.ip, gateway.metrics_port), 2)
+                writer.write(b"GET /state HTTP/1.1\r\nHost: soak.example\r\nConnection: close\r\n\r\n")
+                message = await asyncio.wait_for(read_message(reader), 2)
+                writer.close()
+                known = json.loads(message[2])["peerVms"] if message else None
+            except (OSError, asyncio.TimeoutError) as error:
+                known = repr(error)
+            if known != self.gateway_count - 1:
+                self.checker.report_violation("PEERS", f"{gateway.ip} includes the loads of {known} of {self.gateway_count - 1} others")
+
     async def stop_gateways(self):
         for gateway in self.gateways:
             gateway.send(signal.SIGTERM)
@@ -396,6 +414,7 @@
     parser.add_argument("--seed", type=int, action="append", help="seed of one run; may be given several times")
     parser.add_argument("--runs", type=int, default=0, help="further runs with fresh seeds")
     parser.add_argument("--seconds", type=float, default=12, help="length of each run, in seconds")
+    parser.add_argument("--gateways", type=int, default=DEFAULT_GATEWAYS, help="number of gateways; more than 16 form groups by zone")
     parser.add_argument("--keep", help="folder for the logs of the gateways")
     options = parser.parse_args()
     seeds = (options.seed or []) + [random.SystemRandom().randrange(1 << 32) for _ in range(options.runs)]
@@ -405,7 +424,7 @@
             folder = pathlib.Path(options.keep or temporary) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
             print(f"seed {seed}", flush=True)
-            soak_test = SoakTest(options.binary, seed, options.seconds, folder)
+            soak_test = SoakTest(options.binary, seed, options.seconds, folder, options.gateways)
             try:
                 asyncio.run(soak_test.run())
             finally:
