RelayedStream: Do not count comments as events

Cause: a stream event without any field, which endpoints send to keep a connection open, restarted the inactivity timer. A stalled stream whose endpoint sent a comment now and then was never continued elsewhere, and its requests counted as past their prefill.

Change: comments are relayed, but are not events: they restart no timer, end no prefill and do not shorten the longest pause.

RelayedStreamTest.CommentArrives_IsRelayed_DoesNotCountAsEvent fails without the change (the comment was counted).

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -32,6 +32,20 @@
     return std::nullopt;
 }
 
+/// Whether every line of @p event is blank or a comment.
+bool isComment(std::string_view event)
+{
+    std::size_t start = 0;
+    while (start < event.size()) {
+        const std::string_view line = event.substr(start, event.find('\n', start) - start);
+        start += line.size() + 1;
+        if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Returns the length of the first event of @p text including the terminating blank line, or 0 if the event is incomplete.
 std::size_t eventLength(std::string_view text)
 {
@@ -54,7 +68,8 @@
         std::string event = pending_.substr(used, length);
         used += length;
         const std::optional<std::uint64_t> id = eventId(event);
-        events.push_back({std::move(event), id});
+        const bool comment = isComment(event);
+        events.push_back({.bytes = std::move(event), .id = id, .isComment = comment});
     }
     pending_.erase(0, used);
     return events;
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -13,6 +13,7 @@
 struct StreamEvent {
     std::string bytes; ///< Including the blank line that ends the event.
     std::optional<std::uint64_t> id;
+    bool isComment = false; ///< Contains no field, only comment lines. Servers send these to keep a connection open.
 };
 
 /// Splits the body of an event stream into complete events. The bytes of an incomplete event are buffered.
--- a/src/gateway/relayedstream.cpp
+++ b/src/gateway/relayedstream.cpp
@@ -13,6 +13,7 @@
 std::string RelayedStream::accept(const std::vector<StreamEvent> &events, TimePoint now)
 {
     std::string bytes;
+    const std::size_t countBefore = eventCount_;
     for (const StreamEvent &event : events) {
         const bool isDuplicate = event.id && lastEventId_ && *event.id <= *lastEventId_;
         if (isDuplicate) {
@@ -20,9 +21,9 @@
         }
         bytes += event.bytes;
         lastEventId_ = event.id ? event.id : lastEventId_;
-        ++eventCount_;
+        eventCount_ += event.isComment ? 0 : 1;
     }
-    if (bytes.empty()) {
+    if (eventCount_ == countBefore) {
         return bytes;
     }
     if (firstEventAt_) {
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -381,6 +381,7 @@
 void RequestExchange::relayEvents(std::string_view bytes)
 {
     const TimePoint now = monotonicNow();
+    const std::size_t countBefore = stream_.eventCount();
     std::string completeEvents = stream_.accept(attempt_->events.feed(bytes), now);
     if (completeEvents.empty()) {
         return;
@@ -388,11 +389,14 @@
     if (!std::exchange(retryState_.responseStarted, true)) {
         responseSink_.startStream(attempt_->head);
     }
+    responseSink_.writeStream(std::move(completeEvents));
+    if (stream_.eventCount() == countBefore) {
+        return; // Comments do not show that the endpoint makes progress.
+    }
     context_.fleetLoad.finishPrefill(attempt_->loadTicket);
     for (const FleetLoad::Ticket helper : attempt_->helperLoadTickets) {
         context_.fleetLoad.finishPrefill(helper);
     }
-    responseSink_.writeStream(std::move(completeEvents));
     startInactivityTimer(now);
 }
 
--- a/tests/gateway/eventsplittertest.cpp
+++ b/tests/gateway/eventsplittertest.cpp
@@ -56,4 +56,12 @@
     RC_ASSERT(!splitter.hasPartialEvent());
 }
 
+TEST(EventSplitterTest, Event_HasOnlyCommentLines_IsComment)
+{
+    const auto events = EventSplitter().feed(": ping\n\n:\r\n\r\n: note\ndata: x\n\n\n\n");
+    ASSERT_EQ(events.size(), 4U);
+    EXPECT_TRUE(events[0].isComment && events[1].isComment && events[3].isComment);
+    EXPECT_FALSE(events[2].isComment);
+}
+
 }
--- a/tests/gateway/relayedstreamtest.cpp
+++ b/tests/gateway/relayedstreamtest.cpp
@@ -55,4 +55,15 @@
     EXPECT_EQ(stream.eventCount(), 2U);
 }
 
+// Guards against a stalled stream that never ends because its endpoint sends a comment now and then.
+TEST(RelayedStreamTest, CommentArrives_IsRelayed_DoesNotCountAsEvent)
+{
+    RelayedStream stream({});
+    EXPECT_EQ(stream.accept({event(1)}, Start), "1;");
+    EXPECT_EQ(stream.accept({{.bytes = ": ping\n\n", .id = std::nullopt, .isComment = true}}, Start + 1s), ": ping\n\n");
+    EXPECT_EQ(stream.eventCount(), 1U);
+    stream.accept({event(2)}, Start + 3s);
+    EXPECT_EQ(stream.longestPause(), 3s);
+}
+
 }
