--- a/src/gateway/endpointupdate.cpp
+++ b/src/gateway/endpointupdate.cpp
@@ -21,6 +21,8 @@
 /// Limits an update to one datagram that is not fragmented.
 constexpr std::size_t MaxChangesBytes = 1200;
 
+constexpr std::int64_t MaxUnsigned = std::numeric_limits<std::uint32_t>::max();
+
 /// Changes are sent again for this time. It is longer than the interval at which a VM reads the store.
 constexpr Duration RecentTime = 3s;
 
@@ -96,10 +98,9 @@
     if (!json) {
         return std::nullopt;
     }
-    constexpr std::int64_t MaxNumber = std::numeric_limits<std::uint32_t>::max();
     JsonReader reader(*json, source, "", findings);
-    EndpointUpdate update{.offset = static_cast<std::uint32_t>(reader.requiredInteger("offset", 0, MaxNumber)),
-                          .digest = static_cast<std::uint32_t>(reader.requiredInteger("digest", 0, MaxNumber))};
+    EndpointUpdate update{.offset = static_cast<std::uint32_t>(reader.requiredInteger("offset", 0, MaxUnsigned)),
+                          .digest = static_cast<std::uint32_t>(reader.requiredInteger("digest", 0, MaxUnsigned))};
     const boost::json::value *changes = reader.member("changes");
     if (changes == nullptr || !changes->is_array()) {
         return std::nullopt;
--- a/src/gateway/httpclientconnection.h
+++ b/src/gateway/httpclientconnection.h
@@ -28,7 +28,7 @@
 };
 
 /// Limits on the size of one response. VMs have as little as 160 MB of memory, and some responses are collected whole.
-inline constexpr HttpReadLimits DefaultResponseLimits{.headBytes = 64 * 1024, .bodyBytes = 8 * 1024 * 1024};
+inline constexpr HttpReadLimits DefaultResponseLimits{.headBytes = 64 * 1024, .bodyBytes = 8ULL * 1024 * 1024};
 
 /// Sets the socket options that detect a dead peer (keep-alive probes, a timeout for unacknowledged data) and disables Nagle's algorithm.
 void setKeepAliveOptions(boost::asio::ip::tcp::socket &socket);
--- a/tests/gateway/gatewaysettingstest.cpp
+++ b/tests/gateway/gatewaysettingstest.cpp
@@ -50,7 +50,7 @@
     std::ifstream file(LENTILLOCK_SOURCE_DIR "/deploy/gateway.json.in");
     std::string text(std::istreambuf_iterator<char>(file), {});
     for (const auto &[name, value] : placeholders) {
-        text = std::regex_replace(text, std::regex(R"(\{\{)" + name + R"(\|json\}\})"), value);
+        text = std::regex_replace(text, std::regex(std::string(R"(\{\{)").append(name).append(R"(\|json\}\})")), value);
     }
     return text;
 }
--- a/tests/gateway/httpclientconnectiontest.cpp
+++ b/tests/gateway/httpclientconnectiontest.cpp
@@ -16,10 +16,10 @@
 using boost::asio::ip::tcp;
 
 /// The server gives up after this number of bytes, so that the test ends if the client does not.
-constexpr std::size_t MaxSentBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxSentBytes = 64ULL * 1024 * 1024;
 
 /// Bytes that may be in the buffers of both sockets when the client closes the connection.
-constexpr std::size_t SocketBufferBytes = 8 * 1024 * 1024;
+constexpr std::size_t SocketBufferBytes = 8ULL * 1024 * 1024;
 
 constexpr std::size_t HeadLimit = 65536;
 
