--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -98,7 +98,7 @@
 
 
 class SoakTest:
-    def __init__(self, binary, seed, seconds, folder, gateway_count):
+    def __init__(self, binary, seed, seconds, folder, gateway_count=DEFAULT_GATEWAYS):
         self.random = random.Random(seed)
         self.gateway_count = gateway_count
         self.seconds = seconds
