--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -471,6 +471,7 @@
                     {"endpointAtFault", attempt_->response.endpointAtFault},
                     {"afterMs", integerText(inMilliseconds(now - attempt_->startedAt))},
                     {"events", std::to_string(stream_.eventCount())},
+                    {"promptParts", promptPartsText(caller_.sharedParts)},
                     {"mayHaveRun", retryState_.mayHaveRun ? "yes" : "no"},
                     {"retry", step == NextStep::Retry ? "yes" : "no"}});
     }
@@ -610,6 +611,7 @@
                 {"workspace", workspace_.value()},
                 {"outcome", std::string(outcome)},
                 {"promptTokens", integerText(caller_.promptTokens)},
+                {"promptParts", promptPartsText(caller_.sharedParts)},
                 {"sends", std::to_string(retryState_.attempts)},
                 {"events", std::to_string(stream_.eventCount())},
                 {"firstEventMs", firstEventMs},
--- a/src/gateway/wireprotocol.h
+++ b/src/gateway/wireprotocol.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/httphead.h"
+#include "gateway/promptpart.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
     double maxOutputTokens = 0;
     std::optional<double> expectedOutputTokens; ///< Estimate of the caller.
     std::optional<std::uint64_t> lastEventId; ///< Resume the stream after this event.
+    PromptParts sharedParts; ///< At most MaxPromptParts. Without the part that belongs to this request alone.
 };
 
 /// Another endpoint that computes a part of the prefill, optionally with a memory reservation.
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -159,6 +159,29 @@
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
 }
 
+// Guards against prompts whose parts cannot be told apart, or that make the gateway keep as many parts as a caller likes.
+TEST(WireFormatTest, Prompt_HasParts_SharedOnesAreDecoded)
+{
+    const auto partsOf = [](const std::string &list) {
+        HttpHead head;
+        head.fields = {{"X-Prompt-Prefix", list}};
+        return promptPartsText(WireFormat().callerHead(head).sharedParts);
+    };
+    EXPECT_EQ(partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), "5c1e07a2,91bd3f06");
+    EXPECT_EQ(partsOf("5c1e07a2:800"), "");
+    EXPECT_EQ(partsOf(""), "");
+    EXPECT_EQ(partsOf(",,:5,ab,"), "ab");
+    EXPECT_NE(partsOf(std::string(5000, 'f') + ":1,e:2"), "");
+    EXPECT_LE(partsOf(std::string(5000, 'f') + ":1,e:2").size(), 16U);
+    std::string many;
+    for (int part = 0; part < 1000; ++part) {
+        many += std::to_string(part) + ":1,";
+    }
+    HttpHead head;
+    head.fields = {{"X-Prompt-Prefix", many + "ff:1"}};
+    EXPECT_EQ(WireFormat().callerHead(head).sharedParts.size(), MaxPromptParts);
+}
+
 TEST(WireFormatTest, Misdirected_NamesAnotherEndpoint_IsReplacedAndNotRun)
 {
     HttpHead head;
