--- /dev/null
+++ b/tests/soak/promptparttest.py
@@ -0,0 +1,133 @@
+#!/usr/bin/env python3
+"""Checks that requests with a prompt part that crashes endpoints are stopped, and that other requests with the same first part are served.
+
+Guards against one kind of request that crashes the endpoints of a service one after the other.
+Exit status: 0 if the limits below hold.
+"""
+
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from soak import SoakTest
+from standins import Endpoint
+
+ENDPOINTS = 8
+RESTART_SECONDS = 1.0
+RUN_SECONDS = 14.0
+CRASHES_BEFORE_STOP = 5
+STABLE_WINDOW = 3.0  # After this time from the fifth crash at most MAX_LATE_SENDS requests with the part may reach endpoints.
+MAX_LATE_SENDS = 3
+MIN_SERVED_SHARE = 0.9  # Of the sound requests after twice the stable window.
+SHARED_PART = "e3161bfd7280:40"
+CRASHING_PART = "f865479789ec:900"
+
+
+class CrashingEndpoint(Endpoint):
+    """Ends and restarts when it begins to write the response to a request with the crashing part."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.test = None
+
+    async def stream(self, headers, request_id, stamp, fault, writer):
+        if CRASHING_PART not in headers.get("x-prompt-prefix", ""):
+            return await super().stream(headers, request_id, stamp, fault, writer)
+        self.test.arrivals.append(time.monotonic())
+        await asyncio.sleep(0.05)
+        text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        text += "".join(f"{name}: {value}\r\n" for name, value in stamp.items())
+        writer.write(text.encode() + b"\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.03)
+        if self.server:
+            self.test.crashes.append(time.monotonic())
+            asyncio.ensure_future(self.crash())
+        return False
+
+    async def crash(self):
+        self.stop()
+        await asyncio.sleep(RESTART_SECONDS)
+        self.port = 0  # The kernel may have given the port to another socket meanwhile.
+        self.incarnation += 1000
+        await self.start()
+        self.test.register(self)
+
+
+class PromptPartTest(SoakTest):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.arrivals = []
+        self.crashes = []
+        self.sound = []
+        self.rejections = []
+
+    async def add_endpoint(self):
+        self.endpoint_count += 1
+        endpoint = CrashingEndpoint(f"i-{self.endpoint_count}", "desk", self.checker, self.random.random())
+        endpoint.test = self
+        endpoint.incarnation = 1000 + self.endpoint_count
+        await endpoint.start()
+        self.proxies[endpoint] = endpoint  # A connection to a crashed process must be refused.
+        self.endpoints.append(endpoint)
+        self.register(endpoint)
+
+    async def send(self, number, parts):
+        gateway = self.gateways[number % self.gateway_count]
+        connection = await asyncio.open_connection(gateway.ip, gateway.port)
+        outcome, _keep_alive = await self.send_request(connection, "stream", f"part-{number}", parts)
+        connection[1].close()
+        return outcome
+
+    async def send_sound(self, number):
+        started_at = time.monotonic()
+        self.sound.append((started_at, await self.send(number, f"{SHARED_PART},{number:x}:500")))
+
+    async def send_crashing(self, number):
+        started_at = time.monotonic()
+        outcome = await self.send(number, f"{SHARED_PART},{CRASHING_PART},{number:x}:500")
+        self.rejections.append((started_at, outcome))
+
+    async def run(self):
+        rng = random.Random(7001)
+        begin = time.monotonic()
+        tasks = []
+        number = 0
+        while time.monotonic() - begin < RUN_SECONDS:
+            await asyncio.sleep(rng.expovariate(40))
+            number += 1
+            send = self.send_crashing if rng.random() < 0.1 and time.monotonic() - begin > 1 else self.send_sound
+            tasks.append(asyncio.ensure_future(send(number)))
+        await asyncio.gather(*tasks)
+
+
+async def run(binary, folder):
+    test = PromptPartTest(binary, 1, 0, folder)
+    await test.set_up()
+    for _ in range(ENDPOINTS - len(test.endpoints)):
+        await test.add_endpoint()
+    await asyncio.sleep(1)
+    await test.run()
+    await test.stop_gateways()
+    violations = list(test.checker.violations)
+    last = test.crashes[min(len(test.crashes), CRASHES_BEFORE_STOP) - 1]
+    late = [arrival for arrival in test.arrivals if arrival > last + STABLE_WINDOW]
+    if len(late) > MAX_LATE_SENDS:
+        violations.append(f"BUDGET: {len(late)} requests with the part reached endpoints too late; {len(test.crashes)} crashes")
+    sound = [outcome for started_at, outcome in test.sound if started_at > last + 2 * STABLE_WINDOW]
+    if len(sound) < 20 or sound.count("served") < MIN_SERVED_SHARE * len(sound):
+        violations.append(f"LOST: {sound.count('served')} of {len(sound)} sound requests were served")
+    refused = [outcome for started_at, outcome in test.rejections if started_at > last + STABLE_WINDOW]
+    if len(late) <= MAX_LATE_SENDS and refused.count("refused") < len(refused) - MAX_LATE_SENDS:
+        violations.append(f"REFUSED: only {refused.count('refused')} of {len(refused)} requests with the part were rejected as not run")
+    print(f"{len(test.crashes)} crashes, {len(late)} late sends, {sound.count('served')} of {len(sound)} sound requests served")
+    print("\n".join(violations))
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    with tempfile.TemporaryDirectory() as temporary:
+        sys.exit(asyncio.run(run(sys.argv[1], pathlib.Path(temporary))))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -293,13 +293,14 @@
                 connection = None
             await asyncio.sleep(rng.uniform(0.01, 0.1))
 
-    async def send_request(self, connection, kind, request_id):
+    async def send_request(self, connection, kind, request_id, prompt_parts=None):
         reader, writer = connection
         method = "GET" if kind == "safe" else "POST"
         length = "" if kind == "safe" else "Content-Length: 5\r\n"
         body = "" if kind == "safe" else "hello"
+        prompt = f"X-Prompt-Prefix: {prompt_parts}\r\n" if prompt_parts else ""
         writer.write((f"{method} /{kind}/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: {request_id}\r\nX-Credential: key\r\n"
-                      f"X-Deadline-Ms: {self.route_timeout_ms}\r\n{length}\r\n{body}").encode())
+                      f"X-Deadline-Ms: {self.route_timeout_ms}\r\n{prompt}{length}\r\n{body}").encode())
         await writer.drain()
         if kind == "stream":
             return await self.read_stream(reader, request_id)
