CrashAttribution: Block prompt parts that crash endpoints

What callers saw: requests with one part crashed the endpoints of a service one after the other; up to 13 of 14 were down, and 12 to 14 of 100 sound requests met their objective.

Cause: a request whose run ended with a crash of the endpoint was sent to the next endpoint like any other, and no VM remembered what it had contained (query of death).

Now a run that ends at the start of its response is checked with one connection attempt; if the endpoint refuses it, the crash is evidence against the parts of the prompt. Three crashes at least 200 ms apart, on two endpoints or more, without a normal start in between, block the parts that they have in common. Evidence is sent to the whole fleet and merges by set union. Requests that wait or have been sent when the block falls are ended; the answer says whether they may have run. Resets, stalls and truncated responses are no evidence. One request is tried after a minute, then after doubling times.

--- /dev/null
+++ b/src/gateway/crashattribution.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "base/time.h"
+#include "gateway/promptpart.h"
+
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/member.hpp>
+#include <boost/multi_index/sequenced_index.hpp>
+#include <boost/multi_index_container.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Lentillock
+{
+
+/// A run whose endpoint crashed after the head of the response and before its first event.
+struct StartCrash {
+    std::uint64_t run = 0; ///< Identifies the run in the fleet.
+    std::uint64_t endpoint = 0; ///< Hash of the endpoint ID.
+    TimePoint at{};
+    PromptParts parts{}; ///< Shared parts of the prompt.
+    std::uint16_t soundParts = 0; ///< Bit n is set if another run with part n has produced an event since.
+
+    auto operator<=>(const StartCrash &) const = default;
+
+    [[nodiscard]] bool implicates(const PromptPartId &part) const;
+};
+
+/// Requests whose prompts contain all @c parts are rejected, because they crash endpoints.
+struct PromptPartBlock {
+    PromptParts parts{}; ///< In ascending order.
+    std::uint32_t revision = 0; ///< Increases with each change; odd while the block is in force, even after its release.
+    TimePoint since{};
+    TimePoint until{}; ///< From then on, one request at a time may be tried.
+    int failedTrials = 0;
+
+    auto operator<=>(const PromptPartBlock &) const = default;
+
+    [[nodiscard]] bool isInForce() const;
+    [[nodiscard]] bool matches(const PromptParts &prompt) const;
+};
+
+/// Evidence and blocks that VMs send to each other.
+struct CrashAttributionUpdate {
+    std::vector<StartCrash> crashes{};
+    std::vector<PromptPartBlock> blocks{};
+
+    auto operator<=>(const CrashAttributionUpdate &) const = default;
+
+    [[nodiscard]] bool isEmpty() const;
+};
+
+/// A block that has come into force, was prolonged or was released, with the crashes that it is based on.
+struct PromptPartBlockChange {
+    PromptPartBlock block{};
+    std::vector<StartCrash> crashes{};
+
+    auto operator<=>(const PromptPartBlockChange &) const = default;
+};
+
+/// Whether a request may be sent to an endpoint.
+struct PromptPartDecision {
+    enum class Kind {
+        Send,
+        Try, ///< Send it; its outcome decides on a block.
+        Reject,
+    };
+    Kind kind = Kind::Send;
+    Duration retryAfter{}; ///< Until the block is reconsidered; set with Reject.
+
+    auto operator<=>(const PromptPartDecision &) const = default;
+};
+
+/// Number of crashes after which parts are blocked. The crashes must be at least MinCrashInterval apart, because crashes at the same time have a
+/// common cause, and must be on at least MinCrashedEndpoints endpoints.
+inline constexpr std::size_t BlockingCrashes = 3;
+inline constexpr Duration MinCrashInterval = 200ms;
+inline constexpr std::size_t MinCrashedEndpoints = 2;
+
+/// Time for which a crash counts.
+inline constexpr Duration CrashRetention = 10min;
+
+/// Time for which parts are blocked before a request with them is tried. It doubles with each trial that crashes an endpoint.
+inline constexpr Duration InitialBlockTime = 60s;
+inline constexpr Duration MaxBlockTime = 1h;
+
+/// Limits on what is kept. Beyond them, the oldest crash, the block that is reconsidered first, and the part that has been seen least recently are
+/// forgotten first.
+inline constexpr std::size_t MaxStartCrashes = 256;
+inline constexpr std::size_t MaxPromptPartBlocks = 32;
+inline constexpr std::size_t MaxSoundParts = 4096;
+
+/// Finds the parts of prompts that crash endpoints, and blocks them. Does no I/O.
+///
+/// A part that crashes endpoints crashes each one that begins to write a response to it. Evidence against a part are therefore the runs with it that
+/// ended with a crash at that moment, unless any run with the part has produced an event since; requests that were only waiting on the endpoint, or
+/// whose response had begun, are no evidence. The parts that all these runs have in common are blocked together, so that a part is not blocked
+/// because it always accompanies another one.
+///
+/// All evidence merges by set union, so the VMs of a fleet come to the same verdict regardless of the order in which they learn of it.
+///
+/// If each crash hits a run at the start of its response with a probability of at most q that does not depend on its parts, three given consecutive
+/// runs with a sound part lead to a block with a probability of at most q^3 (see docs/decisions/011-prompt-parts-that-crash-endpoints.md).
+class CrashAttribution
+{
+public:
+    /// Records a confirmed crash that ended a run of this VM.
+    void recordCrash(const StartCrash &crash, TimePoint now);
+
+    /// Records that a run with @p parts has produced its first event.
+    void recordStart(const PromptParts &parts, TimePoint now);
+
+    /// Decides on a request with @p parts. Only one VM of the fleet should set @p mayTry.
+    PromptPartDecision decide(const PromptParts &parts, bool mayTry, TimePoint now);
+
+    /// Whether requests with @p parts are blocked.
+    [[nodiscard]] bool isBlocked(const PromptParts &parts) const;
+
+    /// Whether one more crash of a request with @p parts would block them, so that a failed one should not be sent again.
+    [[nodiscard]] bool isSuspected(const PromptParts &parts) const;
+
+    /// Applies what another VM knows.
+    void merge(const CrashAttributionUpdate &update, TimePoint now);
+
+    /// What this VM knows and others may need.
+    [[nodiscard]] CrashAttributionUpdate update(TimePoint now) const;
+
+    /// Whether this VM has recorded a crash, or changed a block, that it has not sent yet.
+    [[nodiscard]] bool hasUnsentEvidence() const;
+    /// Whether this VM has seen a run with a suspected part start normally, and has neither sent that nor received it.
+    [[nodiscard]] bool hasUnsentStarts() const;
+    void markSent();
+
+    /// Blocks that have changed since the last call.
+    std::vector<PromptPartBlockChange> takeChanges();
+
+    /// Discards what is too old.
+    void expire(TimePoint now);
+
+    [[nodiscard]] const std::vector<PromptPartBlock> &blocks() const;
+    [[nodiscard]] std::size_t crashCount() const;
+
+private:
+    struct Evidence {
+        StartCrash crash;
+        std::uint16_t sharedSoundParts = 0; ///< Those of the sound parts that other VMs have been told of, or have told.
+    };
+    struct SoundPart {
+        PromptPartId part;
+        TimePoint at;
+    };
+    using SoundParts = boost::multi_index_container<
+        SoundPart,
+        boost::multi_index::indexed_by<boost::multi_index::sequenced<>,
+                                       boost::multi_index::hashed_unique<boost::multi_index::member<SoundPart, PromptPartId, &SoundPart::part>>>>;
+
+    /// Adds @p crash, or the sound parts of it if it is known.
+    Evidence &addCrash(const StartCrash &crash);
+    /// Notes that runs with @p parts have started normally after the crashes before @p at. Returns whether that was unknown.
+    bool markSound(const PromptParts &parts, TimePoint at);
+    void addBlock(PromptPartBlock block);
+    void prolong(PromptPartBlock &block, TimePoint now);
+    void release(PromptPartBlock &block);
+    void reportChange(const PromptPartBlock &block);
+    /// Returns whether requests are treated differently from now on.
+    [[nodiscard]] bool mergeBlock(const PromptPartBlock &received, TimePoint now);
+
+    /// Blocks all parts against which there is enough evidence.
+    void evaluate(TimePoint now);
+
+    /// Crashes that are evidence against @p part, oldest first, without those that a block without the part explains.
+    [[nodiscard]] std::vector<const StartCrash *> evidenceAgainst(const PromptPartId &part) const;
+    [[nodiscard]] PromptPartBlock *findBlock(const PromptParts &parts);
+
+    std::map<std::uint64_t, Evidence> crashes_; ///< By run.
+    std::vector<PromptPartBlock> blocks_;
+    std::map<PromptParts, TimePoint> trials_; ///< When a request was last tried, by the parts of the block.
+    SoundParts soundParts_; ///< Most recent last.
+    std::vector<PromptPartBlockChange> changes_;
+    bool hasUnsentEvidence_ = false;
+};
+
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -260,6 +260,7 @@
     context_.directory.applyDueRemovals(now);
     context_.connectionPool.prune(context_.directory, now);
     context_.fleetLoad.expirePeers(now);
+    context_.promptPartGuard.expire(now);
     context_.metrics.setGauge("lentillock_caller_channels", static_cast<double>(callerConnections_.size()));
     context_.metrics.setGauge("lentillock_endpoint_channels_opened", static_cast<double>(context_.connectionPool.openedCount()));
     context_.metrics.setGauge("lentillock_stale_endpoint_records", static_cast<double>(context_.directory.staleRecordCount()));
@@ -304,6 +305,15 @@
                                                 {"remainingReadMs", load.remainingPrefillMs()},
                                                 {"memoryTokens", load.memoryTokens}});
     }
+    boost::json::array blocks;
+    for (const PromptPartBlock &block : context_.promptPartGuard.attribution().blocks()) {
+        blocks.push_back(boost::json::object{{"promptParts", promptPartsText(block.parts)},
+                                             {"inForce", block.isInForce()},
+                                             {"revision", block.revision},
+                                             {"ageMs", std::round(inMilliseconds(now - block.since))},
+                                             {"remainingMs", std::round(inMilliseconds(std::max(Duration::zero(), block.until - now)))},
+                                             {"failedTrials", block.failedTrials}});
+    }
     boost::json::array groupAges;
     for (const Duration age : context_.fleetLoad.groupAges(now)) {
         groupAges.push_back(std::round(inMilliseconds(age)));
@@ -317,6 +327,8 @@
                                                       {"isReporter", peers_.exchange().isReporter()},
                                                       {"readsStoreFirst", context_.readerRank.inFleet == 0},
                                                       {"readsStoreForGroup", context_.readerRank.inGroup == 0},
+                                                      {"promptPartBlocks", std::move(blocks)},
+                                                      {"startCrashes", context_.promptPartGuard.attribution().crashCount()},
                                                       {"groupAgesMs", std::move(groupAges)},
                                                       {"endpoints", std::move(endpoints)}});
 }
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #include "gateway/fleetload.h"
 #include "gateway/fleetretrybudget.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/promptpartguard.h"
 #include "gateway/servingplan.h"
 #include "gateway/viewfreshness.h"
 #include "gateway/wireprotocol.h"
@@ -38,6 +39,7 @@
         , wire(wireProtocol)
         , connectionPool(ioContext)
         , retryBudget(settings.retryBudget)
+        , promptPartGuard(ioContext, metrics)
     {
     }
 
@@ -69,6 +71,7 @@
     FleetLoad fleetLoad;
     EndpointHealth health;
     FleetRetryBudget retryBudget;
+    PromptPartGuard promptPartGuard;
     std::optional<TimePoint> drainingSince; ///< Time of the stop signal.
 };
 
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -393,6 +393,34 @@
     return datagrams;
 }
 
+std::vector<OutgoingDatagram> LoadExchange::toOtherGroups(std::string bytes, DatagramKind kind, TimePoint now) const
+{
+    std::vector<OutgoingDatagram> datagrams;
+    const auto shared = std::make_shared<const std::string>(std::move(bytes));
+    for (const auto &[group, peers] : peers_.otherGroups()) {
+        RelayAddresses relays{};
+        const RemoteGroup *remote = findRemote(group);
+        if (remote != nullptr && remote->isHeard(2 * digestTimeout(), now)) {
+            relays = remote->lastDigest.relays;
+        } else {
+            for (std::size_t index = 0; index < std::min(relays.size(), peers.size()); ++index) {
+                relays.at(index) = peers[index]->ip;
+            }
+        }
+        for (const std::uint32_t ip : relays) {
+            if (ip != 0) {
+                datagrams.push_back({ip, kind, shared});
+            }
+        }
+    }
+    return datagrams;
+}
+
+bool LoadExchange::isFirstInGroup(TimePoint now) const
+{
+    return peers_.rank(ReporterKey, now) == 0;
+}
+
 ReaderRank LoadExchange::readerRank(TimePoint now) const
 {
     // Each group has a first reader. The readers of the groups that precede this one count as well.
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -21,6 +21,7 @@
     Digest,
     ForwardedDigest,
     EndpointUpdate, ///< Changes of the endpoint list, to the own group.
+    CrashAttribution, ///< Crashes and blocked prompt parts, to the fleet.
 };
 
 /// A message to send to the VM with address @c ip.
@@ -74,6 +75,12 @@
     /// Datagrams that carry @p bytes to the live VMs of the group.
     [[nodiscard]] std::vector<OutgoingDatagram> toGroup(std::string bytes, DatagramKind kind, TimePoint now) const;
 
+    /// Datagrams that carry @p bytes to two VMs of each other group, which have to pass them on.
+    [[nodiscard]] std::vector<OutgoingDatagram> toOtherGroups(std::string bytes, DatagramKind kind, TimePoint now) const;
+
+    /// Whether this VM is the first live one of its group in the order of the reporters.
+    [[nodiscard]] bool isFirstInGroup(TimePoint now) const;
+
     /// The VM that has read the endpoint list most recently, unless that was longer than @p maxAge ago.
     [[nodiscard]] std::optional<std::uint32_t> freshestPeer(Duration maxAge, TimePoint now) const;
 
--- a/src/gateway/nextstep.cpp
+++ b/src/gateway/nextstep.cpp
@@ -8,7 +8,7 @@
     const bool isAllowed = !state.mayHaveRun || (state.allowsMultipleRuns && state.possibleRuns < state.maxRuns);
     // A failed attempt to connect did not reach any endpoint and is not charged to the retry budget.
     const bool isWithinBudget = state.outcome == AttemptOutcome::NotConnected || state.hasRetryBudget;
-    if (isAllowed && isWithinBudget && state.hasTimeLeft && state.attempts < MaxAttempts) {
+    if (isAllowed && !state.mayCrashEndpoint && isWithinBudget && state.hasTimeLeft && state.attempts < MaxAttempts) {
         return NextStep::Retry;
     }
     if (state.responseStarted) {
--- a/src/gateway/nextstep.h
+++ b/src/gateway/nextstep.h
@@ -16,6 +16,7 @@
     bool hasRetryBudget = false; ///< The fleet's retry budget allows another retry.
     bool hasTimeLeft = false;
     bool responseStarted = false; ///< The caller has received a part of the response.
+    bool mayCrashEndpoint = false; ///< The last run ended with a crash of its endpoint, and the next one probably would, too.
     bool hasErrorResponse = false; ///< The endpoint's own error response can be relayed.
 };
 
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -18,7 +18,7 @@
 constexpr Duration MaxPeerViewAge = 2s;
 
 /// Label of each DatagramKind in the metrics.
-constexpr std::array<const char *, 5> KindNames{"report", "introduction", "digest", "forwarded-digest", "endpoint-update"};
+constexpr std::array<const char *, 6> KindNames{"report", "introduction", "digest", "forwarded-digest", "endpoint-update", "crash-attribution"};
 
 ExchangeIdentity identityOf(const GatewaySettings &settings)
 {
@@ -33,6 +33,7 @@
 PeerExchange::PeerExchange(GatewayContext &context)
     : context_(context)
     , exchange_(identityOf(context.settings), context.fleetLoad)
+    , crashExchange_(context.promptPartGuard.attribution(), exchange_)
     , socket_(context.io)
 {
 }
@@ -53,6 +54,7 @@
     if (!datagrams.empty()) {
         send(datagrams);
     }
+    send(crashExchange_.takeDue(now));
     if (exchange_.isReporter() != wasReporter) {
         Log::write(Log::Level::Info, "group-reporter-changed", {{"isReporter", wasReporter ? "false" : "true"}});
     }
@@ -61,7 +63,7 @@
 
 void PeerExchange::scheduleTimer()
 {
-    const TimePoint due = exchange_.nextDue();
+    const TimePoint due = std::min(exchange_.nextDue(), crashExchange_.nextDue());
     if (timerDue_ && *timerDue_ <= due) {
         return;
     }
@@ -103,6 +105,11 @@
         }
         return;
     }
+    if (const auto forwarded = crashExchange_.receive(bytes, now)) {
+        send(*forwarded);
+        context_.promptPartGuard.reportChanges(now);
+        return;
+    }
     const LoadExchange::Received received = exchange_.receive(bytes, senderIp, now);
     if (received.view) {
         compareViews(*received.view, now);
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crashattributionexchange.h"
 #include "gateway/endpointupdate.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/loadexchange.h"
@@ -59,12 +60,13 @@
 
     GatewayContext &context_;
     LoadExchange exchange_;
+    CrashAttributionExchange crashExchange_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 2048> buffer_{};
     bool hasVmList_ = false;
     std::optional<TimePoint> timerDue_; ///< Earliest scheduled call of sendDue().
-    std::array<std::uint64_t, 5> sentBytes_{}; ///< Since the last update of the metrics, by DatagramKind.
+    std::array<std::uint64_t, 6> sentBytes_{}; ///< Since the last update of the metrics, by DatagramKind.
 };
 
 }
--- a/src/gateway/promptpart.cpp
+++ b/src/gateway/promptpart.cpp
@@ -30,6 +30,11 @@
     return {isNumber ? value : stableHash(text)};
 }
 
+std::size_t hash_value(const PromptPartId &part)
+{
+    return static_cast<std::size_t>(part.value);
+}
+
 std::string promptPartsText(const PromptParts &parts)
 {
     std::string text;
--- a/src/gateway/promptpart.h
+++ b/src/gateway/promptpart.h
@@ -23,6 +23,9 @@
     static PromptPartId fromText(std::string_view text);
 };
 
+/// Hash for containers of Boost.
+std::size_t hash_value(const PromptPartId &part);
+
 /// Parts of a prompt that other requests can share, in the order of the prompt.
 using PromptParts = std::vector<PromptPartId>;
 
--- /dev/null
+++ b/src/gateway/promptpartguard.cpp
@@ -0,0 +1,120 @@
+#include "gateway/promptpartguard.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <vector>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+std::string wholeMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+void logChange(const PromptPartBlockChange &change, TimePoint now)
+{
+    std::string ages;
+    std::string endpoints;
+    for (const StartCrash &crash : change.crashes) {
+        const char *separator = ages.empty() ? "" : ",";
+        ages.append(separator).append(wholeMilliseconds(now - crash.at));
+        endpoints.append(separator).append(PromptPartId{crash.endpoint}.text());
+    }
+    const PromptPartBlock &block = change.block;
+    Log::write(Log::Level::Warning,
+               block.isInForce() ? "prompt-parts-blocked" : "prompt-parts-released",
+               {{"promptParts", promptPartsText(block.parts)},
+                {"revision", std::to_string(block.revision)},
+                {"remainingMs", wholeMilliseconds(std::max(Duration::zero(), block.until - now))},
+                {"failedTrials", std::to_string(block.failedTrials)},
+                {"crashAgesMs", ages},
+                {"crashedEndpointHashes", endpoints}});
+}
+
+}
+
+PromptPartGuard::PromptPartGuard(boost::asio::io_context &context, Metrics &metrics)
+    : metrics_(metrics)
+    , confirmation_(context)
+{
+}
+
+void PromptPartGuard::confirmCrash(
+    const EndpointRecord &endpoint, const std::string &runId, const PromptParts &parts, TimePoint at, CrashConfirmation::Callback callback)
+{
+    const StartCrash crash{.run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = parts};
+    confirmation_.confirm(endpoint.address, [this, crash, callback = std::move(callback)](bool hasCrashed) {
+        metrics_.increment("lentillock_start_failures_total", {{"cause", hasCrashed ? "crash" : "other"}});
+        if (hasCrashed) {
+            attribution_.recordCrash(crash, monotonicNow());
+        }
+        callback(hasCrashed);
+        reportChanges(monotonicNow());
+    });
+}
+
+void PromptPartGuard::recordStart(const PromptParts &parts, TimePoint now)
+{
+    attribution_.recordStart(parts, now);
+    reportChanges(now);
+}
+
+PromptPartGuard::Subscription PromptPartGuard::subscribe(std::function<void()> callback)
+{
+    subscribers_.emplace(nextSubscription_, std::move(callback));
+    return nextSubscription_++;
+}
+
+void PromptPartGuard::unsubscribe(Subscription subscription)
+{
+    subscribers_.erase(subscription);
+}
+
+void PromptPartGuard::reportChanges(TimePoint now)
+{
+    bool isBlocked = false;
+    for (const PromptPartBlockChange &change : attribution_.takeChanges()) {
+        logChange(change, now);
+        metrics_.increment("lentillock_prompt_part_blocks_total", {{"change", change.block.isInForce() ? "blocked" : "released"}});
+        isBlocked = isBlocked || change.block.isInForce();
+    }
+    if (!isBlocked) {
+        return;
+    }
+    // Subscribers may unsubscribe while they are called.
+    std::vector<std::function<void()>> callbacks;
+    for (const auto &[subscription, callback] : subscribers_) {
+        callbacks.push_back(callback);
+    }
+    for (const auto &callback : callbacks) {
+        callback();
+    }
+}
+
+void PromptPartGuard::expire(TimePoint now)
+{
+    attribution_.expire(now);
+    std::size_t inForce = 0;
+    for (const PromptPartBlock &block : attribution_.blocks()) {
+        inForce += block.isInForce() ? 1 : 0;
+    }
+    metrics_.setGauge("lentillock_prompt_part_blocks", static_cast<double>(inForce));
+    metrics_.setGauge("lentillock_start_crashes_remembered", static_cast<double>(attribution_.crashCount()));
+}
+
+CrashAttribution &PromptPartGuard::attribution()
+{
+    return attribution_;
+}
+
+const CrashAttribution &PromptPartGuard::attribution() const
+{
+    return attribution_;
+}
+
+}
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -107,6 +107,7 @@
 {
     endAttempt();
     context_.timers.cancel(deadlineTimer_);
+    context_.promptPartGuard.unsubscribe(blockSubscription_);
 }
 
 void RequestExchange::start()
@@ -151,6 +152,13 @@
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     context_.retryBudget.recordRequest(service_->name, now);
     deadlineTimer_ = scheduleAt(deadline_, &RequestExchange::onDeadline);
+    if (!caller_.sharedParts.empty()) {
+        blockSubscription_ = context_.promptPartGuard.subscribe([weakSelf = weak_from_this()] {
+            if (const auto self = weakSelf.lock()) {
+                self->onPartsBlocked();
+            }
+        });
+    }
     return true;
 }
 
@@ -197,6 +205,9 @@
 
 void RequestExchange::startAttempt(TimePoint now)
 {
+    if (rejectIfBlocked(now)) {
+        return;
+    }
     Placement placement = place(now);
     if (placement.endpoint == nullptr || deadline_ - now < MinAttemptTime) {
         context_.metrics.increment("lentillock_unplaced_total");
@@ -269,6 +280,52 @@
     });
 }
 
+bool RequestExchange::rejectIfBlocked(TimePoint now)
+{
+    // A stream that has begun elsewhere has shown that its parts are sound.
+    if (caller_.sharedParts.empty() || retryState_.responseStarted) {
+        return false;
+    }
+    const bool mayTry = context_.readerRank.inFleet == 0;
+    const PromptPartDecision decision = context_.promptPartGuard.attribution().decide(caller_.sharedParts, mayTry, now);
+    if (decision.kind == PromptPartDecision::Kind::Try) {
+        Log::write(Log::Level::Warning, "prompt-parts-tried", {{"request", caller_.id.value()}, {"promptParts", promptPartsText(caller_.sharedParts)}});
+    }
+    if (decision.kind != PromptPartDecision::Kind::Reject) {
+        return false;
+    }
+    sendBlockedResponse(decision.retryAfter);
+    return true;
+}
+
+void RequestExchange::sendBlockedResponse(Duration retryAfter)
+{
+    context_.metrics.increment("lentillock_blocked_requests_total", {{"mayHaveRun", retryState_.mayHaveRun ? "yes" : "no"}});
+    if (retryState_.mayHaveRun) {
+        sendErrorResponse(502, "prompt_blocked", "a part of the prompt crashes endpoints; the request may have run", std::nullopt);
+    } else {
+        // Not limited to the time that the caller has left, because an earlier repetition would be rejected as well.
+        const auto delay = std::chrono::ceil<milliseconds>(retryAfter);
+        sendErrorResponse(503, "prompt_blocked", "a part of the prompt crashes endpoints; the request has not run", delay);
+    }
+}
+
+void RequestExchange::onPartsBlocked()
+{
+    const TimePoint now = monotonicNow();
+    const bool hasBegun = retryState_.responseStarted || (attempt_ && attempt_->hasEvent);
+    if (finished_ || hasBegun || !context_.promptPartGuard.attribution().isBlocked(caller_.sharedParts)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    retryState_.mayHaveRun = retryState_.mayHaveRun || (attempt_ && attempt_->isSent);
+    // Closing the connection makes the endpoint drop the request before it begins the response.
+    endAttempt();
+    if (!rejectIfBlocked(now)) {
+        sendBlockedResponse(InitialBlockTime);
+    }
+}
+
 bool RequestExchange::holdIfNeeded(const Placement &placement, TimePoint now)
 {
     const bool isTooEarly = placement.prefillStartMs > placement.maxPrefillStartMs;
@@ -393,6 +450,9 @@
     if (stream_.eventCount() == countBefore) {
         return; // Comments do not show that the endpoint makes progress.
     }
+    if (!std::exchange(attempt_->hasEvent, true) && !caller_.sharedParts.empty()) {
+        context_.promptPartGuard.recordStart(caller_.sharedParts, now);
+    }
     context_.fleetLoad.finishPrefill(attempt_->loadTicket);
     for (const FleetLoad::Ticket helper : attempt_->helperLoadTickets) {
         context_.fleetLoad.finishPrefill(helper);
@@ -407,6 +467,12 @@
     context_.connectionPool.release(attempt_->endpoint, attempt_->connection, context_.maxIdleConnections(attempt_->endpoint), now);
     attempt_->connection.reset();
     if (attempt_->isRelayed) {
+        const bool endsWithConnection = !hasField(attempt_->head, "Content-Length") && !hasField(attempt_->head, "Transfer-Encoding");
+        if (endsWithConnection && endedAtStart()) {
+            // Whether such a response is complete shows only by its content, and an endpoint that crashes sends none.
+            confirmCrash();
+            return;
+        }
         if (attempt_->events.hasPartialEvent()) {
             onAttemptFailed(AttemptOutcome::Incomplete, true);
             return;
@@ -431,6 +497,9 @@
     const bool isServerFailure = attempt_->head.status >= 500;
     if (!isServerFailure && !retryState_.responseStarted) {
         context_.health.recordOutcome(attempt_->endpoint.id, AttemptOutcome::Completed, now);
+        if (isSuccess(attempt_->head.status) && !caller_.sharedParts.empty()) {
+            context_.promptPartGuard.recordStart(caller_.sharedParts, now);
+        }
         responseSink_.sendResponse(attempt_->head, std::move(attempt_->body));
         finish("answered");
         return;
@@ -442,10 +511,40 @@
 void RequestExchange::onFailed(ExchangeFailure failure)
 {
     const auto self = shared_from_this();
+    if (failure == ExchangeFailure::Broken && endedAtStart()) {
+        confirmCrash();
+        return;
+    }
     const bool notConnected = failure == ExchangeFailure::NotConnected;
     onAttemptFailed(notConnected ? AttemptOutcome::NotConnected : AttemptOutcome::Incomplete, !notConnected);
 }
 
+bool RequestExchange::endedAtStart() const
+{
+    return attempt_ && isSuccess(attempt_->head.status) && attempt_->response.hasServerStamp && !attempt_->hasEvent;
+}
+
+void RequestExchange::confirmCrash()
+{
+    context_.timers.cancel(inactivityTimer_);
+    attempt_->connection.reset();
+    context_.promptPartGuard.confirmCrash(
+        attempt_->endpoint, runId(), caller_.sharedParts, monotonicNow(), [weakSelf = weak_from_this(), run = runId()](bool hasCrashed) {
+            const auto self = weakSelf.lock();
+            if (!self || self->finished_ || !self->attempt_ || self->runId() != run) {
+                return;
+            }
+            const CrashAttribution &attribution = self->context_.promptPartGuard.attribution();
+            self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->caller_.sharedParts));
+            self->onAttemptFailed(AttemptOutcome::Incomplete, true);
+        });
+}
+
+std::string RequestExchange::runId() const
+{
+    return caller_.id.value() + '.' + std::to_string(retryState_.attempts) + '@' + context_.settings.vm.value();
+}
+
 void RequestExchange::onAttemptFailed(AttemptOutcome outcome, bool mayHaveRun)
 {
     const TimePoint now = monotonicNow();
@@ -595,6 +694,7 @@
     }
     const TimePoint now = monotonicNow();
     context_.timers.cancel(deadlineTimer_);
+    context_.promptPartGuard.unsubscribe(blockSubscription_);
     endAttempt();
     const std::string route = route_ != nullptr ? route_->name : "";
     context_.metrics.increment("lentillock_finished_total", {{"outcome", std::string(outcome)}});
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -50,6 +50,7 @@
         std::unique_ptr<ReservationSet> reservations;
         TimePoint startedAt;
         bool isSent = false;
+        bool hasEvent = false; ///< An event of this attempt has arrived.
         bool isRelayed = false; ///< The response is a successful stream, whose events are relayed as they arrive.
         HttpHead head;
         ResponseHead response;
@@ -63,6 +64,13 @@
     /// Places the request and sends it to the chosen endpoint, or holds, rejects or fails it.
     void startAttempt(TimePoint now);
 
+    /// Rejects the request if it contains prompt parts that crash endpoints. Returns whether it did.
+    bool rejectIfBlocked(TimePoint now);
+    void sendBlockedResponse(Duration retryAfter);
+
+    /// Ends the request if it is waiting or has been sent, and its parts are blocked since.
+    void onPartsBlocked();
+
     /// Postpones the attempt if the endpoints have to process smaller prompts first or may accept a long prompt later. Returns whether it did.
     bool holdIfNeeded(const Placement &placement, TimePoint now);
     void sendRequest(TimePoint now);
@@ -72,6 +80,11 @@
     void onBody(std::string_view bytes);
     void onFinished();
     void onFailed(ExchangeFailure failure);
+
+    /// Whether the attempt ended at the start of its response, when a part of the prompt may have crashed the endpoint.
+    [[nodiscard]] bool endedAtStart() const;
+    /// Finds out whether the endpoint has crashed before the request is sent again.
+    void confirmCrash();
     void relayEvents(std::string_view bytes);
     void onAttemptFailed(AttemptOutcome outcome, bool mayHaveRun);
     void startInactivityTimer(TimePoint now);
@@ -90,6 +103,7 @@
     /// Whether the request may run more than once, because its route is idempotent or its stream can be resumed.
     [[nodiscard]] bool allowsMultipleRuns() const;
     [[nodiscard]] Duration inactivityTimeout() const;
+    [[nodiscard]] std::string runId() const;
 
     GatewayContext &context_;
     ResponseSink &responseSink_;
@@ -108,6 +122,8 @@
     bool finished_ = false;
     RelayedStream stream_;
     bool wasHeld_ = false;
+    int startCrashes_ = 0; ///< Attempts that ended with a crash of the endpoint at the start of the response.
+    PromptPartGuard::Subscription blockSubscription_ = 0;
 };
 
 }
--- /dev/null
+++ b/tests/gateway/crashattributiontest.cpp
@@ -0,0 +1,364 @@
+#include "gateway/crashattribution.h"
+#include "gateway/crashattributioncodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace Lentillock
+{
+
+namespace
+{
+
+constexpr PromptPartId Shared{0xa};
+constexpr PromptPartId Crashing{0xb};
+constexpr PromptPartId Other{0xc};
+
+class CrashAttributionTest : public testing::Test
+{
+protected:
+    /// A run with @p parts ends with a crash of @p endpoint.
+    void crash(const PromptParts &parts, std::uint64_t endpoint, Duration after = 300ms)
+    {
+        now_ += after;
+        attribution_.recordCrash({.run = ++runs_, .endpoint = endpoint, .at = now_, .parts = parts}, now_);
+    }
+
+    /// Three independent crashes of runs with @p parts.
+    void crashThreeTimes(const PromptParts &parts)
+    {
+        for (std::uint64_t endpoint = 1; endpoint <= BlockingCrashes; ++endpoint) {
+            crash(parts, endpoint);
+        }
+    }
+
+    void start(const PromptParts &parts)
+    {
+        now_ += 10ms;
+        attribution_.recordStart(parts, now_);
+    }
+
+    PromptPartDecision::Kind decide(const PromptParts &parts, bool mayTry = false)
+    {
+        return attribution_.decide(parts, mayTry, now_).kind;
+    }
+
+    void expectRejected(const PromptParts &parts)
+    {
+        EXPECT_EQ(decide(parts), PromptPartDecision::Kind::Reject);
+    }
+
+    void expectSent(const PromptParts &parts)
+    {
+        EXPECT_EQ(decide(parts), PromptPartDecision::Kind::Send);
+    }
+
+    CrashAttribution attribution_;
+    TimePoint now_ = TimePoint(1000s);
+    std::uint64_t runs_ = 0;
+};
+
+TEST_F(CrashAttributionTest, PartCrashesThreeEndpoints_IsBlocked_OthersAreNot)
+{
+    crash({Shared, Crashing}, 1);
+    crash({Other, Crashing}, 2);
+    expectSent({Crashing});
+    EXPECT_TRUE(attribution_.isSuspected({Crashing}));
+    crash({Shared, Crashing}, 3);
+    expectRejected({Shared, Crashing});
+    expectRejected({Crashing});
+    expectSent({Shared});
+    expectSent({Other});
+}
+
+// Guards against blocking a workspace whose first part all crashed requests have, too.
+TEST_F(CrashAttributionTest, PartsAreAlwaysTogether_AreBlocked_OnlyTogether)
+{
+    crashThreeTimes({Shared, Crashing});
+    expectRejected({Shared, Crashing, Other});
+    expectSent({Shared, Other});
+    expectSent({Shared});
+}
+
+TEST_F(CrashAttributionTest, SharedPartStartsMeanwhile_OtherPartIsBlocked_Alone)
+{
+    crash({Shared, Crashing}, 1);
+    crash({Shared, Crashing}, 2);
+    start({Shared});
+    crash({Shared, Crashing}, 3);
+    expectSent({Shared});
+    expectRejected({Other, Crashing});
+}
+
+TEST_F(CrashAttributionTest, BlockedPartCrashesWithAnotherPart_IsBlocked_Alone)
+{
+    crashThreeTimes({Shared, Crashing});
+    expectSent({Other, Crashing});
+    crash({Other, Crashing}, 4);
+    expectRejected({Crashing});
+    expectSent({Shared});
+    expectSent({Other});
+}
+
+// Guards against blaming the first part of a workspace when its crashes are already explained.
+TEST_F(CrashAttributionTest, CrashesAreExplainedByBlock_AccompanyingPart_IsNotSuspected)
+{
+    crash({Shared, Crashing}, 1);
+    crash({Other, Crashing}, 2);
+    crash({Shared, Crashing}, 3);
+    crash({Shared, Crashing}, 4);
+    crash({Shared, Crashing}, 5);
+    expectRejected({Crashing});
+    EXPECT_FALSE(attribution_.isSuspected({Shared}));
+    expectSent({Shared});
+}
+
+TEST_F(CrashAttributionTest, SecondPartCrashesEndpoints_WhileFirstIsBlocked_BothAreBlocked)
+{
+    crashThreeTimes({Shared, Crashing});
+    crash({Shared, Other}, 4);
+    crash({Shared, Other}, 5);
+    start({Shared});
+    crash({Shared, Other}, 6);
+    expectRejected({Crashing, Shared});
+    expectRejected({Other});
+    expectSent({Shared});
+}
+
+// Guards against blaming popular parts when a part of the fleet crashes at the same time.
+TEST_F(CrashAttributionTest, ManyEndpointsCrashAtOnce_NoPart_IsBlocked)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 40; ++endpoint) {
+        crash({Shared}, endpoint, 4ms);
+    }
+    expectSent({Shared});
+}
+
+// Guards against blaming a part for one broken endpoint that crashes again and again.
+TEST_F(CrashAttributionTest, OneEndpointCrashesRepeatedly_NoPart_IsBlocked)
+{
+    for (int count = 0; count < 10; ++count) {
+        crash({Shared}, 1);
+    }
+    expectSent({Shared});
+}
+
+TEST_F(CrashAttributionTest, PartStartsBetweenCrashes_IsNotBlocked_HoweverManyCrashes)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 50; ++endpoint) {
+        crash({Shared}, endpoint);
+        start({Shared, Other});
+    }
+    expectSent({Shared});
+}
+
+TEST_F(CrashAttributionTest, BlockedPartStarts_IsReleased_AndStaysReleased)
+{
+    crashThreeTimes({Shared, Crashing});
+    start({Shared, Crashing});
+    expectSent({Shared, Crashing});
+    crash({Shared, Crashing}, 9);
+    expectSent({Shared, Crashing});
+}
+
+TEST_F(CrashAttributionTest, BlockTimeEnds_OneRequestIsTried_ByOneVm)
+{
+    crashThreeTimes({Crashing});
+    EXPECT_LE(attribution_.decide({Crashing}, true, now_).retryAfter, InitialBlockTime);
+    now_ += InitialBlockTime;
+    expectRejected({Crashing});
+    EXPECT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
+    EXPECT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Reject);
+    now_ += 31s; // The caller of the first one has left.
+    EXPECT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
+}
+
+TEST_F(CrashAttributionTest, TrialCrashesEndpoint_BlockTime_Doubles)
+{
+    crashThreeTimes({Crashing});
+    Duration blockTime = InitialBlockTime;
+    for (int trial = 0; trial < 10; ++trial) {
+        now_ += blockTime;
+        ASSERT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
+        crash({Crashing}, 20);
+        blockTime = std::min<Duration>(2 * blockTime, MaxBlockTime);
+        EXPECT_EQ(attribution_.decide({Crashing}, true, now_).retryAfter, blockTime);
+    }
+}
+
+TEST_F(CrashAttributionTest, TrialStarts_Part_IsReleased)
+{
+    crashThreeTimes({Crashing});
+    now_ += InitialBlockTime;
+    ASSERT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
+    start({Crashing});
+    expectSent({Crashing});
+}
+
+TEST_F(CrashAttributionTest, RequestMatchesTwoBlocks_IsNotTried_WhileBothAreInForce)
+{
+    crashThreeTimes({Crashing});
+    crashThreeTimes({Other});
+    now_ += InitialBlockTime;
+    EXPECT_EQ(decide({Crashing, Other}, true), PromptPartDecision::Kind::Reject);
+    EXPECT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
+}
+
+TEST_F(CrashAttributionTest, EvidenceIsOld_IsForgotten)
+{
+    crash({Crashing}, 1);
+    crash({Crashing}, 2);
+    now_ += CrashRetention + 1s;
+    attribution_.expire(now_);
+    EXPECT_EQ(attribution_.crashCount(), 0U);
+    crash({Crashing}, 3);
+    expectSent({Crashing});
+}
+
+// Guards against callers that make the gateway keep as much as they like.
+TEST_F(CrashAttributionTest, CallersSendManyParts_Memory_IsBounded)
+{
+    for (std::uint64_t part = 0; part < 3 * MaxStartCrashes; ++part) {
+        crashThreeTimes({{part}, {1'000'000 + part}});
+    }
+    EXPECT_LE(attribution_.crashCount(), MaxStartCrashes);
+    EXPECT_LE(attribution_.blocks().size(), MaxPromptPartBlocks);
+    expectRejected({{3 * MaxStartCrashes - 1}, {1'000'000 + 3 * MaxStartCrashes - 1}});
+}
+
+TEST_F(CrashAttributionTest, EvidenceComesFromThreeVms_EachOrder_IsBlocked)
+{
+    CrashAttributionUpdate update;
+    for (std::uint64_t run = 1; run <= BlockingCrashes; ++run) {
+        update.crashes.push_back({.run = run, .endpoint = run, .at = now_ + run * 300ms, .parts = {Shared, Crashing}});
+    }
+    std::sort(update.crashes.begin(), update.crashes.end());
+    do {
+        CrashAttribution receiver;
+        for (const StartCrash &crash : update.crashes) {
+            receiver.merge({.crashes = {crash}}, now_ + 1s);
+            receiver.merge({.crashes = {crash}}, now_ + 1s);
+        }
+        EXPECT_TRUE(receiver.isBlocked({Shared, Crashing}));
+        EXPECT_FALSE(receiver.isBlocked({Shared}));
+    } while (std::next_permutation(update.crashes.begin(), update.crashes.end()));
+}
+
+// Guards against a crash that a VM hears of only after it has seen the part start again.
+TEST_F(CrashAttributionTest, EvidenceArrivesAfterStart_Part_IsSound)
+{
+    const TimePoint crashedAt = now_;
+    start({Shared});
+    CrashAttributionUpdate update;
+    for (std::uint64_t run = 1; run <= 5; ++run) {
+        update.crashes.push_back({.run = run, .endpoint = run, .at = crashedAt - run * 300ms, .parts = {Shared}});
+    }
+    attribution_.merge(update, now_);
+    expectSent({Shared});
+    EXPECT_TRUE(attribution_.hasUnsentStarts());
+}
+
+TEST_F(CrashAttributionTest, ReleaseArrives_OlderBlockFollows_StaysReleased)
+{
+    crashThreeTimes({Crashing});
+    CrashAttribution other;
+    other.merge(attribution_.update(now_), now_);
+    const CrashAttributionUpdate blocked = attribution_.update(now_);
+    start({Crashing});
+    other.merge({.blocks = attribution_.update(now_).blocks}, now_);
+    other.merge({.blocks = blocked.blocks}, now_ + 1s);
+    other.merge({.crashes = blocked.crashes}, now_ + 1s);
+    EXPECT_FALSE(other.isBlocked({Crashing}));
+}
+
+/// Simulates a service whose endpoints crash independently of the prompts. Each crash hits a run that is at the start of its response with
+/// probability StartShare; between two crashes a part starts normally if it is used at all.
+class FalseBlockTest : public testing::Test
+{
+protected:
+    static constexpr double StartShare = 0.05;
+    static constexpr int RunsPerPart = 3;
+
+    /// Whether RunsPerPart consecutive runs with a sound part block it.
+    bool isBlocked(std::mt19937 &random)
+    {
+        CrashAttribution attribution;
+        TimePoint now(1000s);
+        for (int run = 0; run < RunsPerPart; ++run) {
+            now += 1s;
+            if (std::uniform_real_distribution<>()(random) < StartShare) {
+                attribution.recordCrash({.run = random(), .endpoint = random(), .at = now, .parts = {Shared}}, now);
+            } else {
+                attribution.recordStart({Shared}, now);
+            }
+        }
+        return attribution.isBlocked({Shared});
+    }
+};
+
+// The bound is q^3 for q = 0.05, so 25 blocks are expected in 200,000 trials; 45 is four standard deviations above.
+TEST_F(FalseBlockTest, CrashesAreIndependentOfPrompts_SoundPart_IsRarelyBlocked)
+{
+    std::mt19937 random(20261205);
+    int blocked = 0;
+    for (int trial = 0; trial < 200'000; ++trial) {
+        blocked += isBlocked(random) ? 1 : 0;
+    }
+    EXPECT_LE(blocked, 45);
+    RecordProperty("blocked", blocked);
+}
+
+class CrashAttributionCodecTest : public testing::Test
+{
+protected:
+    static CrashAttributionUpdate sample(TimePoint now)
+    {
+        CrashAttributionUpdate update;
+        for (std::uint64_t run = 1; run <= 100; ++run) {
+            update.crashes.push_back({.run = run, .endpoint = run * 7, .at = now - run * 1ms, .parts = {Shared, {run}}, .soundParts = 1});
+        }
+        update.blocks.push_back({.parts = {Crashing}, .revision = 3, .since = now - 5s, .until = now + 55s, .failedTrials = 1});
+        return update;
+    }
+
+    const TimePoint now_ = TimePoint(5000s);
+};
+
+TEST_F(CrashAttributionCodecTest, Update_IsEncodedAndDecoded_IsTheSame)
+{
+    CrashAttributionUpdate decoded;
+    const std::vector<std::string> datagrams = encodeCrashAttribution(sample(now_), true, now_);
+    EXPECT_GT(datagrams.size(), 1U);
+    for (const std::string &bytes : datagrams) {
+        EXPECT_LE(bytes.size(), 1400U);
+        const auto message = decodeCrashAttribution(bytes, now_);
+        ASSERT_TRUE(message);
+        EXPECT_TRUE(message->mustForward);
+        decoded.crashes.insert(decoded.crashes.end(), message->update.crashes.begin(), message->update.crashes.end());
+        decoded.blocks.insert(decoded.blocks.end(), message->update.blocks.begin(), message->update.blocks.end());
+    }
+    EXPECT_EQ(decoded, sample(now_));
+}
+
+TEST_F(CrashAttributionCodecTest, Datagram_IsDamagedOrTruncated_IsRejected)
+{
+    const std::string bytes = encodeCrashAttribution(sample(now_), false, now_).front();
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        std::string damaged = bytes;
+        damaged[index] = static_cast<char>(damaged[index] ^ 1);
+        EXPECT_FALSE(decodeCrashAttribution(damaged, now_)) << index;
+        EXPECT_FALSE(decodeCrashAttribution(bytes.substr(0, index), now_)) << index;
+    }
+}
+
+RC_GTEST_FIXTURE_PROP(CrashAttributionCodecTest, Datagram_IsAnyBytes_DoesNotThrow, (const std::string &bytes))
+{
+    decodeCrashAttribution(bytes, now_);
+    decodeCrashAttribution("LTC1" + bytes, now_);
+}
+
+}
+
+}
--- a/tests/gateway/loadexchangesimulation.cpp
+++ b/tests/gateway/loadexchangesimulation.cpp
@@ -52,6 +52,8 @@
                                     .ip = FirstIp + static_cast<std::uint32_t>(vm),
                                     .incarnation = static_cast<std::uint32_t>(random_())};
     target.exchange = std::make_unique<LoadExchange>(identity, *target.load);
+    target.attribution = std::make_unique<CrashAttribution>();
+    target.crashExchange = std::make_unique<CrashAttributionExchange>(*target.attribution, *target.exchange);
     if (target.incarnation == 1) {
         announced_.push_back(identities_[vm]);
     }
@@ -68,6 +70,8 @@
 
 void LoadExchangeSimulation::kill(std::size_t vm)
 {
+    vms_.at(vm).crashExchange.reset();
+    vms_.at(vm).attribution.reset();
     vms_.at(vm).exchange.reset();
     vms_.at(vm).load.reset();
     vms_.at(vm).requests = 0;
@@ -132,6 +136,23 @@
     takeDue(vm);
 }
 
+void LoadExchangeSimulation::crash(std::size_t vm, std::size_t endpoint, const PromptParts &parts)
+{
+    attribution(vm).recordCrash({.run = ++crashCount_, .endpoint = endpoint, .at = now_, .parts = parts}, now_);
+    takeDue(vm);
+}
+
+void LoadExchangeSimulation::startRun(std::size_t vm, const PromptParts &parts)
+{
+    attribution(vm).recordStart(parts, now_);
+    takeDue(vm);
+}
+
+CrashAttribution &LoadExchangeSimulation::attribution(std::size_t vm)
+{
+    return *vms_.at(vm).attribution;
+}
+
 FleetLoad &LoadExchangeSimulation::load(std::size_t vm)
 {
     return *vms_.at(vm).load;
@@ -211,7 +232,8 @@
         return;
     }
     send(vm, source.exchange->takeDue({}, now_));
-    const TimePoint due = source.exchange->nextDue();
+    send(vm, source.crashExchange->takeDue(now_));
+    const TimePoint due = std::min(source.exchange->nextDue(), source.crashExchange->nextDue());
     if (source.scheduledFor <= now_ || due < source.scheduledFor) {
         source.scheduledFor = due;
         schedule(due, [this, vm, due] {
@@ -248,6 +270,11 @@
         target.waiting.push_back([this, from, to, bytes, incarnation] { deliver(from, to, bytes, incarnation); });
         return;
     }
+    if (const auto forwarded = target.crashExchange->receive(*bytes, now_)) {
+        send(to, *forwarded);
+        takeDue(to);
+        return;
+    }
     send(to, target.exchange->receive(*bytes, FirstIp + static_cast<std::uint32_t>(from), now_).datagrams);
     takeDue(to);
 }
--- a/tests/gateway/loadexchangesimulation.h
+++ b/tests/gateway/loadexchangesimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crashattributionexchange.h"
 #include "gateway/loadexchange.h"
 
 #include <cstddef>
@@ -15,7 +16,7 @@
 namespace Lentillock
 {
 
-/// Runs the load exchange of a fleet in virtual time, with a network that delays and loses datagrams.
+/// Runs the exchange of loads and crashes of a fleet in virtual time, with a network that delays and loses datagrams.
 class LoadExchangeSimulation
 {
 public:
@@ -48,6 +49,12 @@
     FleetLoad::Ticket begin(std::size_t vm, std::size_t endpoint);
     void end(std::size_t vm, FleetLoad::Ticket ticket);
 
+    /// A run of @p vm with @p parts ends with a crash of @p endpoint.
+    void crash(std::size_t vm, std::size_t endpoint, const PromptParts &parts);
+    /// A run of @p vm with @p parts produces its first event.
+    void startRun(std::size_t vm, const PromptParts &parts);
+
+    [[nodiscard]] CrashAttribution &attribution(std::size_t vm);
     [[nodiscard]] FleetLoad &load(std::size_t vm);
     [[nodiscard]] LoadExchange &exchange(std::size_t vm);
     [[nodiscard]] std::size_t zone(std::size_t vm) const;
@@ -73,6 +80,8 @@
     struct Vm {
         std::unique_ptr<FleetLoad> load;
         std::unique_ptr<LoadExchange> exchange;
+        std::unique_ptr<CrashAttribution> attribution;
+        std::unique_ptr<CrashAttributionExchange> crashExchange;
         std::vector<std::function<void()>> waiting; ///< Datagrams that arrived while the VM was paused.
         std::size_t bytesSent = 0;
         std::size_t requests = 0;
@@ -99,6 +108,7 @@
     std::vector<PeerVm> announced_; ///< The VM list.
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
     std::uint64_t nextOrder_ = 0;
+    std::uint64_t crashCount_ = 0;
     TimePoint now_ = TimePoint(1000s);
     TimePoint maintenanceDue_ = now_;
     std::size_t bytesBetweenZones_ = 0;
