Records: Ignore endpoints whose address or port is not valid

Reported by operators of similar systems: one odd entry in the list of endpoints. Deep nesting and numbers out of range were ignored with a finding before; an address without a port, or with one out of range, was taken as an endpoint to which no request could be sent.

--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -155,8 +155,9 @@
     };
     using SoundParts = boost::multi_index_container<
         SoundPart,
-        boost::multi_index::indexed_by<boost::multi_index::sequenced<>,
-                                       boost::multi_index::hashed_unique<boost::multi_index::member<SoundPart, PromptPartId, &SoundPart::part>>>>;
+        boost::multi_index::indexed_by<
+            boost::multi_index::sequenced<>,
+            boost::multi_index::hashed_unique<boost::multi_index::member<SoundPart, PromptPartId, &SoundPart::part>, PromptPartId::Hash>>>;
 
     /// Adds @p crash, or the sound parts of it if it is known.
     Evidence &addCrash(const StartCrash &crash);
--- a/src/gateway/crashattributionexchange.cpp
+++ b/src/gateway/crashattributionexchange.cpp
@@ -16,6 +16,7 @@
 
 /// Many VMs see a suspected part prove sound at the same time. Each waits for a different part of this time, and most hear of it meanwhile.
 constexpr Duration MaxStartsDelay = 250ms;
+constexpr std::uint64_t StartsDelaySteps = 256;
 
 void append(std::vector<OutgoingDatagram> &datagrams, const std::vector<OutgoingDatagram> &more)
 {
@@ -97,8 +98,7 @@
 
 Duration CrashAttributionExchange::startsDelay() const
 {
-    constexpr std::uint64_t Steps = 256;
-    return MaxStartsDelay * static_cast<int>(fleet_.peers().ownHash() % Steps) / static_cast<int>(Steps);
+    return MaxStartsDelay * static_cast<int>(fleet_.peers().ownHash() % StartsDelaySteps) / static_cast<int>(StartsDelaySteps);
 }
 
 }
--- a/src/gateway/endpointconnectionpool.cpp
+++ b/src/gateway/endpointconnectionpool.cpp
@@ -21,16 +21,24 @@
 
 }
 
-boost::asio::ip::tcp::endpoint parseSocketAddress(const std::string &address)
+std::optional<boost::asio::ip::tcp::endpoint> readSocketAddress(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
-    std::uint16_t port = 0;
-    if (colon != std::string::npos) {
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (colon == std::string::npos) {
+        return std::nullopt;
     }
+    std::uint16_t port = 0;
+    const char *const end = address.data() + address.size();
+    const auto result = std::from_chars(address.data() + colon + 1, end, port);
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
-    return error ? boost::asio::ip::tcp::endpoint() : boost::asio::ip::tcp::endpoint(ip, port);
+    const bool isValid = result.ec == std::errc() && result.ptr == end && port > 0 && !error;
+    return isValid ? std::optional(boost::asio::ip::tcp::endpoint(ip, port)) : std::nullopt;
+}
+
+boost::asio::ip::tcp::endpoint parseSocketAddress(const std::string &address)
+{
+    return readSocketAddress(address).value_or(boost::asio::ip::tcp::endpoint());
 }
 
 std::size_t idleConnectionLimit(std::size_t maxConnections, std::size_t vmCount)
--- a/src/gateway/endpointconnectionpool.h
+++ b/src/gateway/endpointconnectionpool.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Lentillock
@@ -50,7 +51,10 @@
 /// A @p maxConnections of 0 means that the endpoint states no limit.
 std::size_t idleConnectionLimit(std::size_t maxConnections, std::size_t vmCount);
 
-/// Parses IP:PORT. Returns a default endpoint if the IP address is not valid.
+/// Reads an address in the form "IPv4:port". Returns std::nullopt if it is not one or if the port is out of range.
+std::optional<boost::asio::ip::tcp::endpoint> readSocketAddress(const std::string &address);
+
+/// The same, with a default endpoint if @p address is not valid.
 boost::asio::ip::tcp::endpoint parseSocketAddress(const std::string &address);
 
 }
--- a/src/gateway/promptpart.cpp
+++ b/src/gateway/promptpart.cpp
@@ -30,7 +30,7 @@
     return {isNumber ? value : stableHash(text)};
 }
 
-std::size_t hash_value(const PromptPartId &part)
+std::size_t PromptPartId::Hash::operator()(const PromptPartId &part) const
 {
     return static_cast<std::size_t>(part.value);
 }
--- a/src/gateway/promptpart.h
+++ b/src/gateway/promptpart.h
@@ -16,6 +16,11 @@
 
     auto operator<=>(const PromptPartId &) const = default;
 
+    /// For unordered containers.
+    struct Hash {
+        std::size_t operator()(const PromptPartId &part) const;
+    };
+
     /// Text as in the requests of callers, if that has at most 16 hexadecimal digits; otherwise a hash of it. Identifiers come from callers and can
     /// have any length.
     [[nodiscard]] std::string text() const;
@@ -23,9 +28,6 @@
     static PromptPartId fromText(std::string_view text);
 };
 
-/// Hash for containers of Boost.
-std::size_t hash_value(const PromptPartId &part);
-
 /// Parts of a prompt that other requests can share, in the order of the prompt.
 using PromptParts = std::vector<PromptPartId>;
 
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -96,6 +96,31 @@
     }
 }
 
+// Guards against one odd entry that ends the processes that read the list, or that is used as an endpoint that cannot be reached.
+TEST(RecordsTest, EndpointOfAnotherWriter_IsNestedOrOutOfRange_IsIgnoredWithFinding)
+{
+    const std::string head = R"({"service":"s","zone":"z","state":"ready","address":)";
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string &text : {head + R"("10.0.0.9:65536"})",
+                                    head + R"("10.0.0.9:99999999999999999999"})",
+                                    head + R"("10.0.0.9:0"})",
+                                    head + R"("10.0.0.9:-1"})",
+                                    head + R"("10.0.0.9:80x"})",
+                                    head + R"("10.0.0.9"})",
+                                    head + R"("10.0.0.999:80"})",
+                                    head + R"("10.0.0.9:80","more":)" + nested + "}",
+                                    head + R"("10.0.0.9:80","slots":1e999})",
+                                    head + R"("10.0.0.9:80","slots":99999999999999999999999})",
+                                    head + R"("10.0.0.9:80","born":1e30})",
+                                    nested}) {
+        Findings findings;
+        EXPECT_FALSE(decodeEndpoint("i-1", text, findings).has_value()) << text.substr(0, 200);
+        EXPECT_TRUE(findings.hasErrors());
+    }
+    Findings findings;
+    EXPECT_TRUE(decodeEndpoint("i-1", head + R"("10.0.0.9:65535"})", findings).has_value()) << findings.toText();
+}
+
 RC_GTEST_PROP(RecordsTest, Endpoint_IsAnyBytes_DoesNotThrow, (const std::string &bytes))
 {
     Findings findings;
--- /dev/null
+++ b/tests/soak/endpointfaulttest.py
@@ -0,0 +1,95 @@
+#!/usr/bin/env python3
+"""Checks responses to callers when endpoints repeat earlier responses, break off streams, or answer a resumed stream with an error.
+
+Exit status: 0 if every caller got its own response, or a stream that is visibly incomplete.
+"""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+from soak import SoakTest
+from standins import Endpoint, answer
+
+REQUESTS = 60
+
+
+class FaultyEndpoint(Endpoint):
+    """Breaks off each new stream, answers each resumed one with an error, and repeats the last rejection or response on a kept connection."""
+
+    repeats = 0
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.earlier = {}
+        self.count = 0
+
+    async def run(self, start, headers, request_id, fault, writer):
+        stamp = {"X-Request-Id": request_id, "X-Server-Stamp": f"stamp.{self.instance_id}"}
+        if "/stream/" in start:
+            if "last-event-id" in headers:
+                writer.write(answer(500, b"id: 3\ndata: error text\n\n", stamp))
+                await writer.drain()
+                return True
+            return await self.break_off(request_id, stamp, writer)
+        for earlier in self.earlier.pop(writer, []):
+            writer.write(earlier)
+            FaultyEndpoint.repeats += 1
+        self.count += 1
+        if self.count % 3 == 0:
+            self.earlier[writer] = [answer(503, headers={"X-Not-Executed": "1", "X-Request-Id": request_id})]
+        elif self.count % 3 == 1:
+            self.earlier[writer] = [answer(200, f"answer to {request_id}".encode(), stamp)]
+        return await super().run(start, headers, request_id, None, writer)
+
+    async def break_off(self, request_id, stamp, writer):
+        text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+        text += "".join(f"{name}: {value}\r\n" for name, value in stamp.items())
+        # Without a length or chunks, only the incomplete event shows that the stream has been broken off.
+        writer.write(text.encode() + b"\r\n" + f"id: 0\ndata: {request_id} 0\n\nid: 1\ndata: {request_id}".encode())
+        await writer.drain()
+        return False
+
+
+class EndpointFaultTest(SoakTest):
+    async def add_endpoint(self):
+        self.endpoint_count += 1
+        endpoint = FaultyEndpoint(f"i-{self.endpoint_count}", "desk", self.checker, self.random.random())
+        endpoint.incarnation = 1000 + self.endpoint_count
+        await endpoint.start()
+        self.proxies[endpoint] = endpoint
+        self.endpoints.append(endpoint)
+        self.register(endpoint)
+
+    async def send(self, kind, number):
+        gateway = self.gateways[number % self.gateway_count]
+        connection = await asyncio.open_connection(gateway.ip, gateway.port)
+        outcome, _keep_alive = await self.send_request(connection, kind, f"{kind}-{number}")
+        connection[1].close()
+        return outcome
+
+
+async def run(binary, folder):
+    test = EndpointFaultTest(binary, 1, 0, folder)
+    await test.set_up()
+    outcomes = {kind: [await test.send(kind, number) for number in range(REQUESTS)] for kind in ("safe", "once", "stream")}
+    await test.stop_gateways()
+    violations = list(test.checker.violations)
+    for kind in ("safe", "once"):
+        if outcomes[kind].count("served") < REQUESTS:
+            violations.append(f"MIXED: {kind}: {sorted(set(outcomes[kind]))}")
+    if set(outcomes["stream"]) != {"cut"}:
+        violations.append(f"ORDER: stream: {sorted(set(outcomes['stream']))}")
+    if FaultyEndpoint.repeats == 0:
+        violations.append("no response was repeated")
+    runs = [request_id for request_id, endpoints in test.checker.runs.items() if request_id.startswith("once") and len(endpoints) > 1]
+    violations += [f"TWICE: {request_id}" for request_id in runs]
+    print(f"{FaultyEndpoint.repeats} repeated responses", {kind: {outcome: results.count(outcome) for outcome in set(results)} for kind, results in outcomes.items()})
+    print("\n".join(violations))
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    with tempfile.TemporaryDirectory() as temporary:
+        sys.exit(asyncio.run(run(sys.argv[1], pathlib.Path(temporary))))
