RequestExchange: Follow what endpoints say of themselves

Cause: no part of the gateway read Server-Leaving, or the Retry-After of an endpoint. An endpoint that said that it leaves got requests until the store's list said so, and one that wanted no requests got them at the usual rate.

An endpoint that says that it leaves gets no new requests in this incarnation, whatever the list says; the VM tells its group. One that rejects a request with Retry-After is closed for that time (at most an hour) and up to a tenth, at most a second, more, different on each VM; then it gets one request at a time until it has completed one. If all endpoints of a service are closed, callers are told at once when the first one opens.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -122,6 +122,25 @@
     return std::exchange(restartedOrRemoved_, {});
 }
 
+bool EndpointDirectory::markLeaving(const EndpointRecord &record)
+{
+    const auto known = saidLeaving_.find(record.id);
+    if (hasSaidLeaving(record) || (known != saidLeaving_.end() && record.startedAtMs < known->second.startedAtMs)) {
+        return false;
+    }
+    saidLeaving_.insert_or_assign(record.id, record);
+    if (saidLeaving_.size() > MaxRemovedRecords) {
+        saidLeaving_.erase(saidLeaving_.begin()->first == record.id ? std::next(saidLeaving_.begin()) : saidLeaving_.begin());
+    }
+    return true;
+}
+
+bool EndpointDirectory::hasSaidLeaving(const EndpointRecord &record) const
+{
+    const auto found = saidLeaving_.find(record.id);
+    return found != saidLeaving_.end() && found->second.isSameIncarnation(record);
+}
+
 const EndpointRecord *EndpointDirectory::find(const EndpointId &id) const
 {
     const auto found = records_.find(id);
@@ -132,7 +151,7 @@
 {
     std::vector<const EndpointRecord *> result;
     for (const auto &[id, record] : records_) {
-        if (record.service == service && !record.isDraining) {
+        if (record.service == service && !record.isDraining && !hasSaidLeaving(record)) {
             result.push_back(&record);
         }
     }
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -53,6 +53,13 @@
     /// Applies the deferred removals whose grace period has passed.
     void applyDueRemovals(TimePoint now);
 
+    /// Records that the incarnation of an endpoint that @p record describes has said that it leaves. It gets no new requests, whatever the platform's
+    /// list says. Returns whether that was unknown.
+    bool markLeaving(const EndpointRecord &record);
+
+    /// Whether the endpoint of @p record has said so in this incarnation.
+    [[nodiscard]] bool hasSaidLeaving(const EndpointRecord &record) const;
+
     /// The record of @p id, or null if there is none.
     [[nodiscard]] const EndpointRecord *find(const EndpointId &id) const;
 
@@ -84,6 +91,7 @@
     std::map<EndpointId, TimePoint> pendingRemovals_; ///< Removed by the platform but still used, with the time at which the removal takes effect.
     TimePoint removalsDeferredUntil_{};
     std::map<EndpointId, EndpointRecord> removedWhileDraining_; ///< Endpoints that were draining when they were removed.
+    std::map<EndpointId, EndpointRecord> saidLeaving_; ///< Kept after the removal, because the platform may list the endpoint again.
     std::vector<EndpointId> restartedOrRemoved_;
     std::uint64_t staleRecordCount_ = 0;
     std::uint64_t revision_ = 0;
--- a/src/gateway/endpointhealth.cpp
+++ b/src/gateway/endpointhealth.cpp
@@ -28,6 +28,10 @@
     case AttemptOutcome::Completed:
     case AttemptOutcome::Failed:
         state.suspension = Duration::zero();
+        // A response to a request that was sent before the rejection does not open the endpoint early.
+        if (state.closedUntil && now >= *state.closedUntil) {
+            state.closedUntil.reset();
+        }
         break;
     case AttemptOutcome::NotRun:
         state.suspendedUntil = std::max(state.suspendedUntil, now + NotRunSuspension);
@@ -48,6 +52,25 @@
     }
 }
 
+void EndpointHealth::recordClosed(const EndpointId &endpoint, Duration time, Duration spread, TimePoint now)
+{
+    std::optional<TimePoint> &until = states_[endpoint].closedUntil;
+    const TimePoint end = now + time + spread;
+    until = until ? std::max(*until, end) : end;
+}
+
+std::optional<TimePoint> EndpointHealth::closedUntil(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto state = states_.find(endpoint);
+    return state != states_.end() && state->second.closedUntil && now < *state->second.closedUntil ? state->second.closedUntil : std::nullopt;
+}
+
+bool EndpointHealth::isReopening(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto state = states_.find(endpoint);
+    return state != states_.end() && state->second.closedUntil && now >= *state->second.closedUntil;
+}
+
 bool EndpointHealth::isSuspended(const EndpointId &endpoint, TimePoint now) const
 {
     const auto state = states_.find(endpoint);
--- a/src/gateway/endpointhealth.h
+++ b/src/gateway/endpointhealth.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <map>
+#include <optional>
 
 namespace Lentillock
 {
@@ -26,6 +27,16 @@
 public:
     void recordOutcome(const EndpointId &endpoint, AttemptOutcome outcome, TimePoint now);
 
+    /// Records that @p endpoint has rejected a request and wants no others for @p time. The end is moved by up to @p spread, because all VMs that
+    /// have been told the same end would return at once.
+    void recordClosed(const EndpointId &endpoint, Duration time, Duration spread, TimePoint now);
+
+    /// The time at which @p endpoint accepts requests again, or std::nullopt if it does.
+    [[nodiscard]] std::optional<TimePoint> closedUntil(const EndpointId &endpoint, TimePoint now) const;
+
+    /// Whether the endpoint was closed and has not completed a request since. It gets one request at a time.
+    [[nodiscard]] bool isReopening(const EndpointId &endpoint, TimePoint now) const;
+
     /// Whether new requests should use other endpoints if there are any.
     [[nodiscard]] bool isSuspended(const EndpointId &endpoint, TimePoint now) const;
 
@@ -40,6 +51,7 @@
         Duration suspension = Duration::zero();
         TimePoint suspendedUntil{};
         double failureRate = 0;
+        std::optional<TimePoint> closedUntil; ///< Kept until a request has been completed.
     };
 
     std::map<EndpointId, State> states_;
--- a/src/gateway/endpointupdate.cpp
+++ b/src/gateway/endpointupdate.cpp
@@ -60,7 +60,15 @@
 std::string encodePart(const EndpointUpdate &update, boost::json::array changes)
 {
     std::string bytes(UpdateMagic);
-    bytes += boost::json::serialize(boost::json::object{{"offset", update.offset}, {"digest", update.digest}, {"changes", std::move(changes)}});
+    boost::json::object json{{"offset", update.offset}, {"digest", update.digest}, {"changes", std::move(changes)}};
+    if (!update.leaving.empty()) {
+        boost::json::array leaving;
+        for (const EndpointRecord &record : update.leaving) {
+            leaving.push_back(encodeChange({.id = record.id, .record = record}));
+        }
+        json["leaving"] = std::move(leaving);
+    }
+    bytes += boost::json::serialize(json);
     appendChecksum(bytes);
     return bytes;
 }
@@ -109,6 +117,14 @@
         JsonReader changeReader(change, source, "/changes", findings);
         update.changes.push_back(decodeChange(changeReader));
     }
+    if (const boost::json::value *leaving = reader.member("leaving"); leaving != nullptr && leaving->is_array()) {
+        for (const boost::json::value &entry : leaving->get_array()) {
+            JsonReader entryReader(entry, source, "/leaving", findings);
+            if (const EndpointChange change = decodeChange(entryReader); change.record) {
+                update.leaving.push_back(*change.record);
+            }
+        }
+    }
     return findings.hasErrors() ? std::nullopt : std::optional(update);
 }
 
--- a/src/gateway/endpointupdate.h
+++ b/src/gateway/endpointupdate.h
@@ -17,6 +17,7 @@
     std::uint32_t offset = 0; ///< Log offset up to which the sender has read the list.
     std::uint32_t digest = 0; ///< Digest of the sender's list.
     std::vector<EndpointChange> changes{};
+    std::vector<EndpointRecord> leaving{}; ///< Endpoints that have said that they leave. Holds whatever the offset is.
 
     auto operator<=>(const EndpointUpdate &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,9 @@
     , peers_(context_)
 {
     peers_.onEndpointUpdate = [this](const EndpointUpdate &update) { applyEndpointUpdate(update); };
+    context_.announceLeaving = [this](const EndpointRecord &endpoint) {
+        peers_.sendEndpointUpdate({.offset = context_.endpointOffset, .digest = context_.directory.digest(), .leaving = {endpoint}});
+    };
 }
 
 void Gateway::run()
@@ -100,6 +103,9 @@
 
 void Gateway::applyEndpointUpdate(const EndpointUpdate &update)
 {
+    for (const EndpointRecord &endpoint : update.leaving) {
+        context_.directory.markLeaving(endpoint);
+    }
     // An older update must not undo what this VM has read itself.
     if (update.offset <= context_.endpointOffset) {
         return;
@@ -119,6 +125,7 @@
     context_.connectionPool.prune(context_.directory, now);
     for (const EndpointId &id : context_.directory.takeRestartedOrRemoved()) {
         context_.health.forget(id);
+        context_.loggedRetryDelays.erase(id);
     }
     Log::write(Log::Level::Info,
                "endpoints-changed",
@@ -298,7 +305,8 @@
         endpoints.push_back(boost::json::object{{"id", id.value()},
                                                 {"service", record.service},
                                                 {"address", record.address},
-                                                {"leaving", record.isDraining},
+                                                {"leaving", record.isDraining || context_.directory.hasSaidLeaving(record)},
+                                                {"closed", context_.health.closedUntil(id, now).has_value()},
                                                 {"suspended", context_.health.isSuspended(id, now)},
                                                 {"failureShare", context_.health.failureRate(id)},
                                                 {"requests", load.requests},
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -15,7 +15,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <optional>
+#include <set>
 
 namespace Lentillock
 {
@@ -72,6 +74,8 @@
     EndpointHealth health;
     FleetRetryBudget retryBudget;
     PromptPartGuard promptPartGuard;
+    std::set<EndpointId> loggedRetryDelays; ///< Endpoints whose Retry-After was not valid, each of which is logged once.
+    std::function<void(const EndpointRecord &)> announceLeaving = [](const EndpointRecord &) {}; ///< Tells other VMs that an endpoint leaves.
     std::optional<TimePoint> drainingSince; ///< Time of the stop signal.
 };
 
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -65,6 +65,19 @@
     return std::min(delay, std::chrono::duration_cast<milliseconds>(timeLeft) / 3);
 }
 
+/// Part of the time for which an endpoint wants no requests by which VMs spread their first requests after it.
+constexpr double RetrySpreadFraction = 0.1;
+constexpr Duration MaxRetrySpread = 1s;
+
+/// Time that is added to @p time, different for each @p key.
+Duration retrySpread(Duration time, std::string_view key)
+{
+    constexpr std::uint64_t Steps = 1000;
+    const double fraction = static_cast<double>(stableHash(key) % Steps) / static_cast<double>(Steps);
+    return std::chrono::duration_cast<Duration>(std::min<Duration>(std::chrono::duration_cast<Duration>(time * RetrySpreadFraction), MaxRetrySpread)
+                                                * fraction);
+}
+
 /// Formats @p value without its fraction.
 std::string integerText(double value)
 {
@@ -174,6 +187,10 @@
         if (triedEndpoints_.contains(endpoint->id)) {
             continue;
         }
+        const bool isProbed = context_.health.isReopening(endpoint->id, now) && context_.fleetLoad.ownLoad(endpoint->id, now).requests > 0;
+        if (context_.health.closedUntil(endpoint->id, now) || isProbed) {
+            continue;
+        }
         PlacementCandidate candidate{.endpoint = endpoint, .load = context_.fleetLoad.totalLoad(endpoint->id, now)};
         candidate.isSuspended = context_.health.isSuspended(endpoint->id, now);
         candidate.failureRate = context_.health.failureRate(endpoint->id);
@@ -422,10 +439,33 @@
     }
     attempt_->head = head;
     attempt_->response = response;
+    applyEndpointStatements(response);
     attempt_->isRelayed = isSuccess(head.status) && response.hasServerStamp && route_->isStream;
     return ResponseDisposition::Accept;
 }
 
+void RequestExchange::applyEndpointStatements(const ResponseHead &response)
+{
+    const EndpointRecord &endpoint = attempt_->endpoint;
+    if (response.isLeaving && context_.directory.markLeaving(endpoint)) {
+        context_.metrics.increment("lentillock_endpoint_statements_total", {{"statement", "leaving"}});
+        Log::write(Log::Level::Info, "endpoint-says-leaving", {{"endpoint", endpoint.id.value()}, {"request", caller_.id.value()}});
+        context_.announceLeaving(endpoint);
+    }
+    if (!response.retryDelay.rejectedText.empty() && context_.loggedRetryDelays.insert(endpoint.id).second) {
+        Log::write(Log::Level::Warning, "retry-after-rejected", {{"endpoint", endpoint.id.value()}, {"value", response.retryDelay.rejectedText}});
+    }
+    if (response.retryDelay.time) {
+        const Duration time = *response.retryDelay.time;
+        const Duration spread = retrySpread(time, endpoint.id.value() + '@' + context_.settings.vm.value());
+        context_.health.recordClosed(endpoint.id, time, spread, monotonicNow());
+        context_.metrics.increment("lentillock_endpoint_statements_total", {{"statement", "closed"}});
+        Log::write(Log::Level::Info,
+                   "endpoint-closed",
+                   {{"endpoint", endpoint.id.value()}, {"request", caller_.id.value()}, {"forMs", integerText(inMilliseconds(time + spread))}});
+    }
+}
+
 void RequestExchange::onBody(std::string_view bytes)
 {
     if (attempt_->isRelayed) {
@@ -590,7 +630,7 @@
         finish("endpoint-failure");
         break;
     case NextStep::ReportNotRun:
-        sendErrorResponse(503, "not_run", "no endpoint could take the request", cappedRetryAfter(DefaultRetryAfter, deadline_ - now));
+        sendErrorResponse(503, "not_run", "no endpoint could take the request", cappedRetryAfter(timeUntilOpen(now), deadline_ - now));
         break;
     case NextStep::ReportMayHaveRun:
         sendErrorResponse(502, "endpoint_failed", "the endpoint failed; the request may have run", std::nullopt);
@@ -602,6 +642,19 @@
     }
 }
 
+milliseconds RequestExchange::timeUntilOpen(TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const EndpointRecord *endpoint : context_.directory.usable(service_->name)) {
+        const auto until = context_.health.closedUntil(endpoint->id, now);
+        if (!until) {
+            return DefaultRetryAfter;
+        }
+        earliest = earliest ? std::min(*earliest, *until) : *until;
+    }
+    return earliest ? std::max(DefaultRetryAfter, std::chrono::ceil<milliseconds>(*earliest - now)) : DefaultRetryAfter;
+}
+
 Duration RequestExchange::inactivityTimeout() const
 {
     if (!route_->isStream) {
--- /dev/null
+++ b/src/gateway/retrydelay.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Lentillock
+{
+
+/// Longest time for which a VM sends an endpoint nothing because of its own statement. A faulty value must not exclude an endpoint for good; one that
+/// has been idle for an hour is worth another request.
+inline constexpr Duration MaxRetryDelay = 1h;
+
+/// The time for which an endpoint wants no requests, as stated in the Retry-After field of a rejection.
+struct RetryDelay {
+    std::optional<Duration> time{}; ///< At most MaxRetryDelay; not set if nothing valid is stated.
+    std::string rejectedText{}; ///< The stated value if it is not valid or was limited, shortened; empty otherwise.
+
+    auto operator<=>(const RetryDelay &) const = default;
+
+    /// Reads a number of seconds, which may have a fraction. Negative numbers, dates and other texts are not valid; zero states no time.
+    static RetryDelay fromText(std::string_view text);
+};
+
+}
--- a/src/gateway/wireprotocol.h
+++ b/src/gateway/wireprotocol.h
@@ -5,6 +5,7 @@
 #include "gateway/endpointdirectory.h"
 #include "gateway/httphead.h"
 #include "gateway/promptpart.h"
+#include "gateway/retrydelay.h"
 
 #include <cstdint>
 #include <optional>
@@ -52,6 +53,8 @@
     bool wasNotRun = false; ///< The endpoint has not run the request and never will.
     bool isReplaced = false; ///< The response comes from an endpoint other than the expected one.
     std::string endpointAtFault; ///< Address of another endpoint that caused the rejection; may be empty.
+    bool isLeaving = false; ///< The endpoint finishes its requests in progress and accepts no new ones.
+    RetryDelay retryDelay{}; ///< Time for which the endpoint wants no requests.
 };
 
 /// Request to reserve memory at an endpoint.
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -184,6 +184,43 @@
     EXPECT_TRUE(text.ends_with("\r\n\r\nbody"));
 }
 
+TEST(WireFormatTest, EndpointSaysLeaving_IsDecoded_UnlessAnotherEndpointSaysIt)
+{
+    HttpHead head;
+    head.status = 200;
+    head.fields = {{"server-leaving", "1"}};
+    EXPECT_TRUE(WireFormat().responseHead(head).isLeaving);
+    head.fields = {{"Server-Leaving", "0"}};
+    EXPECT_FALSE(WireFormat().responseHead(head).isLeaving);
+    head.status = 421;
+    head.fields = {{"Server-Leaving", "1"}, {"X-Instance-Id", "another"}};
+    EXPECT_FALSE(WireFormat().responseHead(head).isLeaving);
+}
+
+TEST(WireFormatTest, RejectionHasRetryAfter_IsDecoded_OrRejected)
+{
+    const auto delayOf = [](const std::string &text, unsigned status = 503) {
+        HttpHead head;
+        head.status = status;
+        head.fields = {{"X-Not-Executed", "1"}, {"Retry-After", text}};
+        return WireFormat().responseHead(head).retryDelay;
+    };
+    EXPECT_EQ(delayOf("2").time, 2s);
+    EXPECT_EQ(delayOf("0.25").time, 250ms);
+    EXPECT_EQ(delayOf("3600").time, 1h);
+    EXPECT_EQ(delayOf("0"), RetryDelay());
+    EXPECT_EQ(delayOf(""), RetryDelay());
+    EXPECT_EQ(delayOf("2", 200), RetryDelay());
+    for (const std::string text : {"-1", "-0", "soon", "1s", " 1", "nan", "inf", "1e3", "Sat, 05 Dec 2026 07:18:38 GMT"}) {
+        EXPECT_EQ(delayOf(text), (RetryDelay{.rejectedText = text})) << text;
+    }
+    for (const std::string text : {"3601", "999999999999", "99999999999999999999999999999999999999"}) {
+        EXPECT_EQ(delayOf(text), (RetryDelay{.time = MaxRetryDelay, .rejectedText = text})) << text;
+    }
+    EXPECT_EQ(delayOf(std::string(400, '9')).time, MaxRetryDelay);
+    EXPECT_LE(delayOf(std::string(4000, 'x')).rejectedText.size(), 100U);
+}
+
 // Guards against prompts whose parts cannot be told apart, or that make the gateway keep as many parts as a caller likes.
 TEST(WireFormatTest, Prompt_HasParts_SharedOnesAreDecoded)
 {
--- a/tests/gateway/endpointdirectorytest.cpp
+++ b/tests/gateway/endpointdirectorytest.cpp
@@ -107,4 +107,32 @@
     EXPECT_NE(directory_.digest(), other.digest());
 }
 
+// The platform's list may be old, or have lost the endpoint for a while.
+TEST_F(EndpointDirectoryTest, EndpointHasSaidThatItLeaves_IsNotUsable_WhateverIsListed)
+{
+    put(record("a"));
+    const std::uint32_t digest = directory_.digest();
+    EXPECT_TRUE(directory_.markLeaving(record("a")));
+    EXPECT_FALSE(directory_.markLeaving(record("a")));
+    EXPECT_TRUE(directory_.usable("s").empty());
+    EXPECT_EQ(directory_.digest(), digest);
+    put(record("a"));
+    remove("a");
+    put(record("a"));
+    EXPECT_TRUE(directory_.usable("s").empty());
+}
+
+TEST_F(EndpointDirectoryTest, LeavingEndpointRestarts_NewIncarnation_IsUsable)
+{
+    put(record("a", 100));
+    directory_.markLeaving(record("a", 100));
+    put(record("a", 200));
+    EXPECT_EQ(directory_.usable("s").size(), 1U);
+    // A message about the earlier incarnation is late.
+    EXPECT_FALSE(directory_.markLeaving(record("a", 100)));
+    directory_.markLeaving(record("a", 200));
+    EXPECT_FALSE(directory_.markLeaving(record("a", 100)));
+    EXPECT_TRUE(directory_.usable("s").empty());
+}
+
 }
--- a/tests/gateway/endpointhealthtest.cpp
+++ b/tests/gateway/endpointhealthtest.cpp
@@ -54,4 +54,32 @@
     EXPECT_FALSE(health_.isSuspended(Endpoint, now_));
 }
 
+TEST_F(EndpointHealthTest, EndpointIsClosed_ReopensWithOneRequest)
+{
+    health_.recordClosed(Endpoint, 2s, 100ms, now_);
+    EXPECT_EQ(health_.closedUntil(Endpoint, now_ + 2s), now_ + 2100ms);
+    EXPECT_FALSE(health_.isReopening(Endpoint, now_ + 2s));
+    EXPECT_FALSE(health_.closedUntil(Endpoint, now_ + 2100ms));
+    EXPECT_TRUE(health_.isReopening(Endpoint, now_ + 2100ms));
+    health_.recordOutcome(Endpoint, AttemptOutcome::Completed, now_ + 2200ms);
+    EXPECT_FALSE(health_.isReopening(Endpoint, now_ + 2200ms));
+}
+
+// A request that was sent before the rejection may be completed after it.
+TEST_F(EndpointHealthTest, EarlierRequestCompletes_EndpointStaysClosed)
+{
+    health_.recordClosed(Endpoint, 2s, 0ms, now_);
+    health_.recordOutcome(Endpoint, AttemptOutcome::Completed, now_ + 100ms);
+    EXPECT_TRUE(health_.closedUntil(Endpoint, now_ + 1s));
+}
+
+TEST_F(EndpointHealthTest, RejectionsOverlap_LatestEndHolds_UntilRestart)
+{
+    health_.recordClosed(Endpoint, 5s, 0ms, now_);
+    health_.recordClosed(Endpoint, 1s, 0ms, now_ + 1s);
+    EXPECT_EQ(health_.closedUntil(Endpoint, now_ + 3s), now_ + 5s);
+    health_.forget(Endpoint);
+    EXPECT_FALSE(health_.closedUntil(Endpoint, now_ + 3s));
+}
+
 }
--- a/tests/gateway/endpointupdatetest.cpp
+++ b/tests/gateway/endpointupdatetest.cpp
@@ -58,6 +58,8 @@
     const auto datagrams = encodeEndpointUpdate(update);
     ASSERT_EQ(datagrams.size(), 1U);
     EXPECT_EQ(decodeEndpointUpdate(datagrams.front()), update);
+    const EndpointUpdate statement{.offset = 12, .digest = 1, .leaving = {record("d")}};
+    EXPECT_EQ(decodeEndpointUpdate(encodeEndpointUpdate(statement).front()), statement);
 }
 
 TEST_F(EndpointUpdateTest, UpdateIsLarge_IsDividedIntoDatagrams_ThatArriveWhole)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,13 +26,15 @@
 ROUTE_TIMEOUT = 2.0
 TOLERANCE = 0.75  # A response may arrive 0.5 s after the route's timeout; the other 0.25 s cover scheduling delays.
 DRAIN_LIMIT = 2.0
+REACTION_LIMIT = 0.5  # From then on, MAX_CLOSED_ARRIVALS requests may reach an endpoint that wants none from the same VM.
+MAX_CLOSED_ARRIVALS = 2
 RECOVERY_SECONDS = 4.0
 MIN_RECOVERY_SHARE = 0.9
 DRAIN_GRACE_MS = 4000
 FAULT_KINDS = [
     "kill", "pause", "term", "reload", "store-busy", "store-reset", "store-silent", "store-lost", "store-cut", "endpoint-hang", "endpoint-lose",
     "endpoint-cut", "endpoint-error", "endpoint-full", "endpoint-extra", "proxy-reset", "proxy-delay", "proxy-silent", "proxy-one-way", "crash",
-    "leave", "version", "revoke",
+    "leave", "version", "revoke", "endpoint-says-leaving", "endpoint-closed",
 ]
 
 
@@ -45,6 +47,42 @@
         self.violations = []
         self.outcomes = {}
         self.store_disrupted_until = 0.0
+        self.gateways = []
+        self.sent_at = {}
+        self.leaving_passed_at = {}  # By gateway, endpoint and incarnation.
+        self.closed = {}  # By gateway and endpoint: time, end and number of later arrivals of each rejection with Retry-After.
+
+    def gateway_of(self, request_id):
+        caller = request_id.split("-")[0]
+        return self.gateways[int(caller) % len(self.gateways)] if self.gateways and caller.isdigit() else None
+
+    def record_leaving(self, request_id, head):
+        """Records that a gateway has passed on a response of an endpoint that says that it leaves."""
+        fields = dict(line.split(": ", 1) for line in head.lower().split("\r\n") if ": " in line)
+        gateway = self.gateway_of(request_id)
+        if gateway and fields.get("server-leaving") == "1":
+            key = (gateway, fields["x-server-stamp"].removeprefix("stamp."), fields["x-incarnation"])
+            self.leaving_passed_at.setdefault(key, time.monotonic())
+
+    def record_closed(self, endpoint, request_id, until):
+        gateway = self.gateway_of(request_id)
+        if gateway:
+            self.closed.setdefault((gateway, endpoint), []).append([time.monotonic(), until, 0])
+
+    def check_statements(self, endpoint, request_id):
+        """Checks an arrival against what the endpoint has said before to the same gateway, unless that was disrupted since."""
+        gateway = self.gateway_of(request_id)
+        now = time.monotonic()
+        for rejection in self.closed.get((gateway, endpoint), []):
+            said_at, until, _count = rejection
+            disrupted = max(gateway.disrupted_until, gateway.started_at, endpoint.link_disrupted_until) > said_at
+            if said_at + REACTION_LIMIT < now < until and not disrupted:
+                rejection[2] += 1
+                if rejection[2] > MAX_CLOSED_ARRIVALS:
+                    self.report_violation("BUDGET", f"{request_id} reached {endpoint.instance_id} {now - said_at:.1f} s after its Retry-After")
+        passed_at = self.leaving_passed_at.get((gateway, endpoint.instance_id, str(endpoint.incarnation)))
+        if passed_at and self.sent_at.get(request_id, 0) > passed_at + DRAIN_LIMIT and max(gateway.disrupted_until, gateway.started_at) < passed_at:
+            self.report_violation("DRAIN", f"{request_id} reached {endpoint.instance_id} {now - passed_at:.1f} s after it had said that it leaves")
 
     def report_violation(self, invariant, text):
         self.violations.append(f"{invariant}: {text}")
@@ -59,6 +97,8 @@
         if drain_start and now - drain_start > DRAIN_LIMIT + TOLERANCE and now > self.store_disrupted_until + 3:
             self.report_violation("DRAIN", f"{request_id} reached {endpoint.instance_id} {now - drain_start:.1f} s after it began to leave")
 
+        self.check_statements(endpoint, request_id)
+
     def record_run(self, endpoint, request_id):
         self.runs.setdefault(request_id, []).append(endpoint.instance_id)
 
@@ -82,10 +122,12 @@
         self.log = open(folder / f"gateway-{index}.log", "ab")
         self.binary = binary
         self.process = None
+        self.started_at = 0.0
         self.restarting = False  # True while the process is being stopped and restarted by a fault.
         self.disrupted_until = 0.0
 
     def start(self):
+        self.started_at = time.monotonic()
         environment = {"PATH": os.environ.get("PATH", ""), "LENTILLOCK_BOOT": str(self.settings)}
         self.process = subprocess.Popen([self.binary], stdout=self.log, stderr=self.log, env=environment)
 
@@ -140,6 +182,7 @@
         self.endpoint_count += 1
         endpoint = Endpoint(f"i-{self.endpoint_count}", "desk", self.checker, self.random.random())
         endpoint.incarnation = 1000 + self.endpoint_count
+        endpoint.link_disrupted_until = 0.0
         await endpoint.start()
         proxy = Proxy(endpoint.port)
         await proxy.start()
@@ -161,6 +204,7 @@
             gateway = Gateway(self.binary, index, ports, proxy.address, self.folder)
             gateway.start()
             self.gateways.append(gateway)
+        self.checker.gateways = self.gateways
         await asyncio.sleep(1.5)
 
     # Faults
@@ -187,19 +231,19 @@
             self.checker.store_disrupted_until = time.monotonic() + duration
             await self.store_fault(kind, duration, index)
             self.checker.store_disrupted_until = time.monotonic()
+        elif kind == "endpoint-closed":
+            endpoint.closed_until = time.monotonic() + duration + 0.5
+        elif kind == "endpoint-says-leaving":
+            await self.say_leaving(endpoint)
         elif kind.startswith("endpoint-"):
             endpoint.fault = kind.removeprefix("endpoint-")
             await asyncio.sleep(duration)
             endpoint.fault = None
         elif kind.startswith("proxy-"):
+            endpoint.link_disrupted_until = time.monotonic() + duration + 1
             await self.proxy_fault(kind, duration, self.proxies[endpoint])
         elif kind == "crash" and endpoint.server:
-            endpoint.stop()
-            self.proxies[endpoint].reset()
-            await asyncio.sleep(duration)
-            endpoint.incarnation += 1000
-            await endpoint.start()
-            self.register(endpoint)
+            await self.crash(endpoint, duration)
         elif kind == "leave" and len(self.endpoints) > 2:
             self.endpoints.remove(endpoint)
             await self.add_endpoint()
@@ -210,6 +254,24 @@
         elif kind in ("version", "revoke"):
             self.publish()
 
+    async def crash(self, endpoint, duration):
+        endpoint.stop()
+        self.proxies[endpoint].reset()
+        await asyncio.sleep(duration)
+        endpoint.incarnation += 1000
+        endpoint.says_leaving = False
+        endpoint.closed_until = 0.0
+        endpoint.link_disrupted_until = time.monotonic()
+        await endpoint.start()
+        self.register(endpoint)
+
+    async def say_leaving(self, endpoint):
+        """The endpoint says that it leaves, without a word in the list, and starts again at the same address some seconds later."""
+        endpoint.says_leaving = True
+        await asyncio.sleep(DRAIN_LIMIT + 1)
+        if endpoint.server and endpoint.says_leaving:
+            await self.crash(endpoint, 0.3)
+
     async def restart(self, gateway, kind, duration):
         if kind == "kill":
             gateway.extend_disruption(duration + 3)
@@ -295,6 +357,7 @@
 
     async def send_request(self, connection, kind, request_id, prompt_parts=None):
         reader, writer = connection
+        self.checker.sent_at[request_id] = time.monotonic()
         method = "GET" if kind == "safe" else "POST"
         length = "" if kind == "safe" else "Content-Length: 5\r\n"
         body = "" if kind == "safe" else "hello"
@@ -311,6 +374,7 @@
 
     def classify_response(self, message, kind, request_id):
         start, headers, body = message
+        self.checker.record_leaving(request_id, "\r\n".join(f"{name}: {value}" for name, value in headers.items()))
         status = int(start.split(" ")[1])
         keep_alive = headers.get("connection") != "close"
         if status == 200:
@@ -326,6 +390,7 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         except (asyncio.IncompleteReadError, ConnectionError):
             return "closed", False
+        self.checker.record_leaving(request_id, head)
         status = int(head.split(" ")[1])
         keep_alive = "connection: close" not in head.lower()
         if status != 200:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -176,11 +176,14 @@
     def __init__(self, instance_id, service, checker, seed):
         super().__init__()
         self.instance_id = instance_id
+        self.incarnation = 0
         self.service = service
         self.checker = checker
         self.random = random.Random(seed)
         self.fault = None  # None, "hang", "lose", "cut", "error", "full", "extra"
         self.fault_share = 0.5
+        self.says_leaving = False
+        self.closed_until = 0.0  # Requests are rejected with Retry-After until then.
 
     async def serve(self, reader, writer):
         while True:
@@ -195,6 +198,12 @@
                 continue
             self.checker.record_arrival(self, request_id, start, headers)
             fault = self.fault if self.fault and self.random.random() < self.fault_share else None
+            closed_for = self.closed_until - time.monotonic()
+            if closed_for > 0:
+                self.checker.record_closed(self, request_id, self.closed_until)
+                writer.write(answer(503, headers={"X-Not-Executed": "1", "X-Request-Id": request_id, "Retry-After": f"{closed_for:.3f}"}))
+                await writer.drain()
+                continue
             if fault == "full":
                 writer.write(answer(503, headers={"X-Not-Executed": "1", "X-Request-Id": request_id}))
                 await writer.drain()
@@ -205,6 +214,9 @@
 
     async def run(self, start, headers, request_id, fault, writer):
         stamp = {"X-Request-Id": request_id, "X-Server-Stamp": f"stamp.{self.instance_id}"}
+        if self.says_leaving:
+            stamp["Server-Leaving"] = "1"
+            stamp["X-Incarnation"] = str(self.incarnation)
         if fault == "hang":
             await asyncio.sleep(30)
         if fault == "lose":
