--- a/src/gateway/crashattributioncodec.cpp
+++ b/src/gateway/crashattributioncodec.cpp
@@ -1,12 +1,12 @@
 #include "gateway/crashattributioncodec.h"
 
+#include "gateway/datagrambytes.h"
 #include "gateway/datagramchecksum.h"
 
 #include <boost/endian/buffers.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <limits>
 
 namespace Lentillock
@@ -15,6 +15,9 @@
 namespace
 {
 
+using detail::appendBytes;
+using detail::takeBytes;
+
 constexpr std::array<char, 4> Magic{'L', 'T', 'C', '1'};
 
 /// Limits a message to one datagram that is not fragmented.
@@ -49,23 +52,6 @@
     boost::endian::little_uint8_buf_t failedTrials;
 };
 
-template<typename Value>
-void appendBytes(std::string &bytes, const Value &value)
-{
-    bytes.append(reinterpret_cast<const char *>(&value), sizeof(value));
-}
-
-template<typename Value>
-bool takeBytes(std::string_view &bytes, Value &value)
-{
-    if (bytes.size() < sizeof(value)) {
-        return false;
-    }
-    std::memcpy(&value, bytes.data(), sizeof(value));
-    bytes.remove_prefix(sizeof(value));
-    return true;
-}
-
 std::uint32_t wireTime(Duration time)
 {
     const auto count = std::chrono::duration_cast<milliseconds>(time).count();
--- a/src/gateway/loadreportcodec.cpp
+++ b/src/gateway/loadreportcodec.cpp
@@ -1,5 +1,6 @@
 #include "gateway/loadreportcodec.h"
 
+#include "gateway/datagrambytes.h"
 #include "gateway/datagramchecksum.h"
 
 #include <boost/endian/buffers.hpp>
@@ -16,6 +17,8 @@
 namespace
 {
 
+using detail::appendBytes;
+
 constexpr std::array<char, 4> ReportMagic{'L', 'T', 'L', '4'};
 constexpr std::array<char, 4> DigestMagic{'L', 'T', 'D', '4'};
 
@@ -86,12 +89,6 @@
     return static_cast<Integer>(std::clamp(std::round(value), 0.0, static_cast<double>(std::numeric_limits<Integer>::max())));
 }
 
-template<typename Value>
-void appendBytes(std::string &bytes, const Value &value)
-{
-    bytes.append(reinterpret_cast<const char *>(&value), sizeof(value));
-}
-
 std::uint16_t wireAge(milliseconds age)
 {
     return saturatingRound<std::uint16_t>(static_cast<double>(age.count()));
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/endpointstatements.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -174,8 +175,7 @@
         if (triedEndpoints_.contains(endpoint->id)) {
             continue;
         }
-        const bool isProbed = context_.health.isReopening(endpoint->id, now) && context_.fleetLoad.ownLoad(endpoint->id, now).requests > 0;
-        if (context_.health.closedUntil(endpoint->id, now) || isProbed) {
+        if (!EndpointStatements(context_).mayReceive(endpoint->id, now)) {
             continue;
         }
         PlacementCandidate candidate{.endpoint = endpoint, .load = context_.fleetLoad.totalLoad(endpoint->id, now)};
@@ -426,33 +426,11 @@
     }
     attempt_->head = head;
     attempt_->response = response;
-    applyEndpointStatements(response);
+    EndpointStatements(context_).apply(attempt_->endpoint, response, caller_.id, monotonicNow());
     attempt_->isRelayed = isSuccess(head.status) && response.hasServerStamp && route_->isStream;
     return ResponseDisposition::Accept;
 }
 
-void RequestExchange::applyEndpointStatements(const ResponseHead &response)
-{
-    const EndpointRecord &endpoint = attempt_->endpoint;
-    if (response.isLeaving && context_.directory.markLeaving(endpoint)) {
-        context_.metrics.increment("lentillock_endpoint_statements_total", {{"statement", "leaving"}});
-        Log::write(Log::Level::Info, "endpoint-says-leaving", {{"endpoint", endpoint.id.value()}, {"request", caller_.id.value()}});
-        context_.announceLeaving(endpoint);
-    }
-    if (!response.retryDelay.rejectedText.empty() && context_.loggedRetryDelays.insert(endpoint.id).second) {
-        Log::write(Log::Level::Warning, "retry-after-rejected", {{"endpoint", endpoint.id.value()}, {"value", response.retryDelay.rejectedText}});
-    }
-    if (response.retryDelay.time) {
-        const Duration time = *response.retryDelay.time;
-        const Duration spread = retryDelaySpread(time, endpoint.id.value() + '@' + context_.settings.vm.value());
-        context_.health.recordClosed(endpoint.id, time, spread, monotonicNow());
-        context_.metrics.increment("lentillock_endpoint_statements_total", {{"statement", "closed"}});
-        Log::write(Log::Level::Info,
-                   "endpoint-closed",
-                   {{"endpoint", endpoint.id.value()}, {"request", caller_.id.value()}, {"forMs", integerText(inMilliseconds(time + spread))}});
-    }
-}
-
 void RequestExchange::onBody(std::string_view bytes)
 {
     if (attempt_->isRelayed) {
@@ -627,9 +605,11 @@
         responseSink_.sendResponse(failureHead, std::move(failureBody));
         finish("endpoint-failure");
         break;
-    case NextStep::ReportNotRun:
-        sendErrorResponse(503, "not_run", "no endpoint could take the request", cappedRetryAfter(timeUntilOpen(now), deadline_ - now));
+    case NextStep::ReportNotRun: {
+        const milliseconds timeUntilOpen = EndpointStatements(context_).timeUntilOpen(service_->name, now);
+        sendErrorResponse(503, "not_run", "no endpoint could take the request", cappedRetryAfter(std::max(DefaultRetryAfter, timeUntilOpen), deadline_ - now));
         break;
+    }
     case NextStep::ReportMayHaveRun:
         sendErrorResponse(502, "endpoint_failed", "the endpoint failed; the request may have run", std::nullopt);
         break;
@@ -640,19 +620,6 @@
     }
 }
 
-milliseconds RequestExchange::timeUntilOpen(TimePoint now) const
-{
-    std::optional<TimePoint> earliest;
-    for (const EndpointRecord *endpoint : context_.directory.usable(service_->name)) {
-        const auto until = context_.health.closedUntil(endpoint->id, now);
-        if (!until) {
-            return DefaultRetryAfter;
-        }
-        earliest = earliest ? std::min(*earliest, *until) : *until;
-    }
-    return earliest ? std::max(DefaultRetryAfter, std::chrono::ceil<milliseconds>(*earliest - now)) : DefaultRetryAfter;
-}
-
 Duration RequestExchange::inactivityTimeout() const
 {
     if (!route_->isStream) {
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -78,9 +78,6 @@
     std::vector<PlacementCandidate> candidates(TimePoint now) const;
     Placement place(TimePoint now) const;
     ResponseDisposition onHead(const HttpHead &head);
-
-    /// Follows what the endpoint says of itself: that it leaves, or wants no requests for a time.
-    void applyEndpointStatements(const ResponseHead &response);
     void onBody(std::string_view bytes);
     void onFinished();
     void finishStream(TimePoint now);
@@ -110,9 +107,6 @@
     [[nodiscard]] Duration inactivityTimeout() const;
     [[nodiscard]] std::string runId() const;
 
-    /// Time until the first endpoint of the service wants requests again, if all of them want none.
-    [[nodiscard]] milliseconds timeUntilOpen(TimePoint now) const;
-
     GatewayContext &context_;
     ResponseSink &responseSink_;
     CallerRequest request_;
--- a/src/gateway/retrydelay.h
+++ b/src/gateway/retrydelay.h
@@ -10,8 +10,8 @@
 namespace Lentillock
 {
 
-/// Longest time for which a VM sends an endpoint nothing because of its own statement. A faulty value must not exclude an endpoint for good; one that
-/// has been idle for an hour is worth another request.
+/// Longest time for which a VM sends an endpoint nothing because of its own statement. A faulty value must not exclude an endpoint for good, and
+/// one request an hour costs little.
 inline constexpr Duration MaxRetryDelay = 1h;
 
 /// The time for which an endpoint wants no requests, as stated in the Retry-After field of a rejection.
--- a/tests/soak/endpointfaulttest.py
+++ b/tests/soak/endpointfaulttest.py
@@ -59,20 +59,7 @@
 
 class EndpointFaultTest(SoakTest):
     async def add_endpoint(self):
-        self.endpoint_count += 1
-        endpoint = FaultyEndpoint(f"i-{self.endpoint_count}", "desk", self.checker, self.random.random())
-        endpoint.incarnation = 1000 + self.endpoint_count
-        await endpoint.start()
-        self.proxies[endpoint] = endpoint
-        self.endpoints.append(endpoint)
-        self.register(endpoint)
-
-    async def send(self, kind, number):
-        gateway = self.gateways[number % self.gateway_count]
-        connection = await asyncio.open_connection(gateway.ip, gateway.port)
-        outcome, _keep_alive = await self.send_request(connection, kind, f"{kind}-{number}")
-        connection[1].close()
-        return outcome
+        await self.add_direct_endpoint(FaultyEndpoint)
 
 
 class VanishingEndpointTest(SoakTest):
@@ -123,7 +110,7 @@
 async def run(binary, folder):
     test = EndpointFaultTest(binary, 1, 0, folder)
     await test.set_up()
-    outcomes = {kind: [await test.send(kind, number) for number in range(REQUESTS)] for kind in ("safe", "once", "stream")}
+    outcomes = {kind: [await test.send_once(kind, number) for number in range(REQUESTS)] for kind in ("safe", "once", "stream")}
     await test.stop_gateways()
     violations = list(test.checker.violations)
     for kind in ("safe", "once"):
@@ -133,7 +120,7 @@
         violations.append(f"ORDER: stream: {sorted(set(outcomes['stream']))}")
     if FaultyEndpoint.repeats == 0:
         violations.append("no response was repeated")
-    runs = [request_id for request_id, endpoints in test.checker.runs.items() if request_id.startswith("once") and len(endpoints) > 1]
+    runs = [request_id for request_id, endpoints in test.checker.runs.items() if "-once-" in request_id and len(endpoints) > 1]
     violations += await check_deadline_during_crash_check(binary, folder)
     violations += [f"TWICE: {request_id}" for request_id in runs]
     print(f"{FaultyEndpoint.repeats} repeated responses", {kind: {outcome: results.count(outcome) for outcome in set(results)} for kind, results in outcomes.items()})
--- a/tests/soak/promptparttest.py
+++ b/tests/soak/promptparttest.py
@@ -29,10 +29,6 @@
 class CrashingEndpoint(Endpoint):
     """Ends and restarts when it begins to write the response to a request with the crashing part."""
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.test = None
-
     async def stream(self, headers, request_id, stamp, fault, writer):
         if CRASHING_PART not in headers.get("x-prompt-prefix", ""):
             return await super().stream(headers, request_id, stamp, fault, writer)
@@ -66,29 +62,15 @@
         self.rejections = []
 
     async def add_endpoint(self):
-        self.endpoint_count += 1
-        endpoint = CrashingEndpoint(f"i-{self.endpoint_count}", "desk", self.checker, self.random.random())
-        endpoint.test = self
-        endpoint.incarnation = 1000 + self.endpoint_count
-        await endpoint.start()
-        self.proxies[endpoint] = endpoint  # A connection to a crashed process must be refused.
-        self.endpoints.append(endpoint)
-        self.register(endpoint)
-
-    async def send(self, number, parts):
-        gateway = self.gateways[number % self.gateway_count]
-        connection = await asyncio.open_connection(gateway.ip, gateway.port)
-        outcome, _keep_alive = await self.send_request(connection, "stream", f"part-{number}", parts)
-        connection[1].close()
-        return outcome
+        await self.add_direct_endpoint(CrashingEndpoint)
 
     async def send_sound(self, number):
         started_at = time.monotonic()
-        self.sound.append((started_at, await self.send(number, f"{SHARED_PART},{number:x}:500")))
+        self.sound.append((started_at, await self.send_once("stream", number, f"{SHARED_PART},{number:x}:500")))
 
     async def send_crashing(self, number):
         started_at = time.monotonic()
-        outcome = await self.send(number, f"{SHARED_PART},{CRASHING_PART},{number:x}:500")
+        outcome = await self.send_once("stream", number, f"{SHARED_PART},{CRASHING_PART},{number:x}:500")
         self.rejections.append((started_at, outcome))
 
     async def run(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.runs = {}
+        self.last_run_at = {}  # By endpoint.
         self.drain_started_at = {}
         self.violations = []
         self.outcomes = {}
@@ -101,6 +102,7 @@
 
     def record_run(self, endpoint, request_id):
         self.runs.setdefault(request_id, []).append(endpoint.instance_id)
+        self.last_run_at[endpoint.instance_id] = time.monotonic()
 
     def record_outcome(self, kind, request_id, outcome):
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
@@ -190,6 +192,26 @@
         self.endpoints.append(endpoint)
         self.register(endpoint)
 
+    async def add_direct_endpoint(self, endpoint_class):
+        """Adds an endpoint without a proxy, so that a connection to it is refused when it has crashed."""
+        self.endpoint_count += 1
+        endpoint = endpoint_class(f"i-{self.endpoint_count}", "desk", self.checker, self.random.random())
+        endpoint.test = self
+        endpoint.incarnation = 1000 + self.endpoint_count
+        endpoint.link_disrupted_until = 0.0
+        await endpoint.start()
+        self.proxies[endpoint] = endpoint
+        self.endpoints.append(endpoint)
+        self.register(endpoint)
+
+    async def send_once(self, kind, number, prompt_parts=None):
+        """Sends one request on a new connection, to a gateway that depends on its number, and returns the outcome."""
+        gateway = self.gateways[number % self.gateway_count]
+        connection = await asyncio.open_connection(gateway.ip, gateway.port)
+        outcome, _keep_alive = await self.send_request(connection, kind, f"{number % self.gateway_count}-{kind}-{number}", prompt_parts)
+        connection[1].close()
+        return outcome
+
     async def set_up(self):
         await self.store.start()
         self.store_proxies = []
