CrashAttribution: Make the block time a setting, and keep a trial going

Found while reading the diff: a request that was sent as a trial and had to wait for its endpoints was rejected by its own trial at the next check. It is remembered as the trial now (not shown by a test: the stand-ins have no prompts that wait).

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -70,6 +70,11 @@
     return crashes.empty() && blocks.empty();
 }
 
+CrashAttribution::CrashAttribution(Duration initialBlockTime)
+    : initialBlockTime_(initialBlockTime)
+{
+}
+
 void CrashAttribution::recordCrash(const StartCrash &crash, TimePoint now)
 {
     if (crash.parts.empty()) {
@@ -274,7 +279,7 @@
 
 void CrashAttribution::prolong(PromptPartBlock &block, TimePoint now)
 {
-    Duration time = InitialBlockTime;
+    Duration time = initialBlockTime_;
     for (int trial = 0; trial <= block.failedTrials && time < MaxBlockTime; ++trial) {
         time *= 2;
     }
@@ -344,7 +349,7 @@
         }
         const PromptParts parts = commonParts(evidence);
         if (!isBlocked(parts)) {
-            addBlock({.parts = parts, .revision = 1, .since = now, .until = now + InitialBlockTime});
+            addBlock({.parts = parts, .revision = 1, .since = now, .until = now + initialBlockTime_});
         }
     }
 }
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -84,8 +84,7 @@
 /// Time for which a crash counts.
 inline constexpr Duration CrashRetention = 10min;
 
-/// Time for which parts are blocked before a request with them is tried. It doubles with each trial that crashes an endpoint.
-inline constexpr Duration InitialBlockTime = 60s;
+/// Longest time for which parts are blocked before a request with them is tried. The time doubles with each trial that crashes an endpoint.
 inline constexpr Duration MaxBlockTime = 1h;
 
 /// Limits on what is kept. Beyond them, the oldest crash, the block that is reconsidered first, and the part that has been seen least recently are
@@ -108,6 +107,9 @@
 class CrashAttribution
 {
 public:
+    /// Parts are blocked for @p initialBlockTime before a request with them is tried for the first time.
+    explicit CrashAttribution(Duration initialBlockTime);
+
     /// Records a confirmed crash that ended a run of this VM.
     void recordCrash(const StartCrash &crash, TimePoint now);
 
@@ -177,6 +179,7 @@
     [[nodiscard]] std::vector<const StartCrash *> evidenceAgainst(const PromptPartId &part) const;
     [[nodiscard]] PromptPartBlock *findBlock(const PromptParts &parts);
 
+    Duration initialBlockTime_;
     std::map<std::uint64_t, Evidence> crashes_; ///< By run.
     std::vector<PromptPartBlock> blocks_;
     std::map<PromptParts, TimePoint> trials_; ///< When a request was last tried, by the parts of the block.
--- a/src/gateway/endpointstatements.cpp
+++ b/src/gateway/endpointstatements.cpp
@@ -37,8 +37,10 @@
 
 bool EndpointStatements::mayReceive(const EndpointId &endpoint, TimePoint now) const
 {
-    const bool isInUse = context_.fleetLoad.ownLoad(endpoint, now).requests > 0;
-    return !context_.health.closedUntil(endpoint, now) && !(isInUse && context_.health.isReopening(endpoint, now));
+    if (context_.health.closedUntil(endpoint, now)) {
+        return false;
+    }
+    return !context_.health.isReopening(endpoint, now) || context_.fleetLoad.ownLoad(endpoint, now).requests == 0;
 }
 
 milliseconds EndpointStatements::timeUntilOpen(const std::string &service, TimePoint now) const
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -41,7 +41,7 @@
         , wire(wireProtocol)
         , connectionPool(ioContext)
         , retryBudget(settings.retryBudget)
-        , promptPartGuard(ioContext, metrics)
+        , promptPartGuard(ioContext, metrics, settings.promptBlockTime)
     {
     }
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -23,6 +23,7 @@
     {"repeatRatio", "sends per request", 0.2, 0, 1000, "Repeated sends to one service for each of its requests."},
     {"repeatSlack", "sends", 102, 0, 1e9, "Repeated sends to one service in one window, of all VMs, in addition to the ratio."},
     {"repeatWindowSeconds", "s", 10, 0.1, 3600, "Length of the window in which repeated sends are counted."},
+    {"promptBlockSeconds", "s", 60, 0.1, 3600, "Time for which prompts that crash endpoints are blocked before one is tried."},
 };
 
 milliseconds fromSeconds(double seconds)
@@ -50,6 +51,7 @@
     settings.retryBudget.ratio = decimals.at("repeatRatio");
     settings.retryBudget.slack = decimals.at("repeatSlack");
     settings.retryBudget.window = fromSeconds(decimals.at("repeatWindowSeconds"));
+    settings.promptBlockTime = fromSeconds(decimals.at("promptBlockSeconds"));
     reader.finish();
     return settings;
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -25,6 +25,7 @@
     std::string storeAddress;
     milliseconds drainGrace{8000}; ///< Time from the stop signal until the process is killed.
     FleetRetryBudgetSettings retryBudget;
+    milliseconds promptBlockTime{60000}; ///< Time for which prompt parts that crash endpoints are blocked before a request is tried.
 
     /// Reads the settings from @p value. Problems are added to @p findings with their location.
     static GatewaySettings read(const boost::json::value &value, const std::string &source, Findings &findings);
--- a/src/gateway/promptpartguard.cpp
+++ b/src/gateway/promptpartguard.cpp
@@ -38,8 +38,9 @@
 
 }
 
-PromptPartGuard::PromptPartGuard(boost::asio::io_context &context, Metrics &metrics)
+PromptPartGuard::PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, Duration initialBlockTime)
     : metrics_(metrics)
+    , attribution_(initialBlockTime)
     , confirmation_(context)
 {
 }
--- a/src/gateway/promptpartguard.h
+++ b/src/gateway/promptpartguard.h
@@ -19,7 +19,7 @@
 public:
     using Subscription = std::uint64_t;
 
-    PromptPartGuard(boost::asio::io_context &context, Metrics &metrics);
+    PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, Duration initialBlockTime);
 
     /// Checks whether @p endpoint has crashed while the run @p runId with @p parts was at the start of its response, and records it if so.
     /// Calls @p callback with the result.
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -287,12 +287,13 @@
 bool RequestExchange::rejectIfBlocked(TimePoint now)
 {
     // A stream that has begun elsewhere has shown that its parts are sound.
-    if (caller_.sharedParts.empty() || retryState_.responseStarted) {
+    if (caller_.sharedParts.empty() || retryState_.responseStarted || isTrial_) {
         return false;
     }
     const bool mayTry = context_.readerRank.inFleet == 0;
     const PromptPartDecision decision = context_.promptPartGuard.attribution().decide(caller_.sharedParts, mayTry, now);
-    if (decision.kind == PromptPartDecision::Kind::Try) {
+    isTrial_ = decision.kind == PromptPartDecision::Kind::Try;
+    if (isTrial_) {
         Log::write(Log::Level::Warning, "prompt-parts-tried", {{"request", caller_.id.value()}, {"promptParts", promptPartsText(caller_.sharedParts)}});
     }
     if (decision.kind != PromptPartDecision::Kind::Reject) {
@@ -318,7 +319,7 @@
 {
     const TimePoint now = monotonicNow();
     const bool hasBegun = retryState_.responseStarted || (attempt_ && attempt_->hasEvent);
-    if (finished_ || hasBegun || !context_.promptPartGuard.attribution().isBlocked(caller_.sharedParts)) {
+    if (finished_ || hasBegun || isTrial_ || !context_.promptPartGuard.attribution().isBlocked(caller_.sharedParts)) {
         return;
     }
     const auto self = shared_from_this();
@@ -326,7 +327,7 @@
     // Closing the connection makes the endpoint drop the request before it begins the response.
     endAttempt();
     if (!rejectIfBlocked(now)) {
-        sendBlockedResponse(InitialBlockTime);
+        sendBlockedResponse(context_.settings.promptBlockTime);
     }
 }
 
@@ -551,6 +552,7 @@
                 return;
             }
             const CrashAttribution &attribution = self->context_.promptPartGuard.attribution();
+            self->isTrial_ = self->isTrial_ && !hasCrashed;
             self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->caller_.sharedParts));
             self->onAttemptFailed(AttemptOutcome::Incomplete, true);
         });
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -124,6 +124,7 @@
     bool finished_ = false;
     RelayedStream stream_;
     bool wasHeld_ = false;
+    bool isTrial_ = false; ///< The request is sent although its parts are blocked, to find out whether they still crash endpoints.
     int startCrashes_ = 0; ///< Attempts that ended with a crash of the endpoint at the start of the response.
     PromptPartGuard::Subscription blockSubscription_ = 0;
 };
--- a/tests/gateway/crashattributiontest.cpp
+++ b/tests/gateway/crashattributiontest.cpp
@@ -15,6 +15,7 @@
 constexpr PromptPartId Shared{0xa};
 constexpr PromptPartId Crashing{0xb};
 constexpr PromptPartId Other{0xc};
+constexpr Duration InitialBlockTime = 60s;
 
 class CrashAttributionTest : public testing::Test
 {
@@ -55,7 +56,7 @@
         EXPECT_EQ(decide(parts), PromptPartDecision::Kind::Send);
     }
 
-    CrashAttribution attribution_;
+    CrashAttribution attribution_{InitialBlockTime};
     TimePoint now_ = TimePoint(1000s);
     std::uint64_t runs_ = 0;
 };
@@ -236,7 +237,7 @@
     }
     std::sort(update.crashes.begin(), update.crashes.end());
     do {
-        CrashAttribution receiver;
+        CrashAttribution receiver(InitialBlockTime);
         for (const StartCrash &crash : update.crashes) {
             receiver.merge({.crashes = {crash}}, now_ + 1s);
             receiver.merge({.crashes = {crash}}, now_ + 1s);
@@ -263,7 +264,7 @@
 TEST_F(CrashAttributionTest, ReleaseArrives_OlderBlockFollows_StaysReleased)
 {
     crashThreeTimes({Crashing});
-    CrashAttribution other;
+    CrashAttribution other(InitialBlockTime);
     other.merge(attribution_.update(now_), now_);
     const CrashAttributionUpdate blocked = attribution_.update(now_);
     start({Crashing});
@@ -284,7 +285,7 @@
     /// Whether RunsPerPart consecutive runs with a sound part block it.
     bool isBlocked(std::mt19937 &random)
     {
-        CrashAttribution attribution;
+        CrashAttribution attribution(InitialBlockTime);
         TimePoint now(1000s);
         for (int run = 0; run < RunsPerPart; ++run) {
             now += 1s;
--- a/tests/gateway/loadexchangesimulation.cpp
+++ b/tests/gateway/loadexchangesimulation.cpp
@@ -52,7 +52,7 @@
                                     .ip = FirstIp + static_cast<std::uint32_t>(vm),
                                     .incarnation = static_cast<std::uint32_t>(random_())};
     target.exchange = std::make_unique<LoadExchange>(identity, *target.load);
-    target.attribution = std::make_unique<CrashAttribution>();
+    target.attribution = std::make_unique<CrashAttribution>(60s);
     target.crashExchange = std::make_unique<CrashAttributionExchange>(*target.attribution, *target.exchange);
     if (target.incarnation == 1) {
         announced_.push_back(identities_[vm]);
--- a/tests/soak/promptparttest.py
+++ b/tests/soak/promptparttest.py
@@ -26,11 +26,16 @@
 CRASHING_PART = "f865479789ec:900"
 
 
+BLOCK_SECONDS = 2.0  # In the second run, in which the part ceases to crash endpoints.
+REPAIR_AFTER = 5.0
+RELEASE_SECONDS = 3 * BLOCK_SECONDS + 1.0  # The time until the next trial doubles at most once until the repair.
+
+
 class CrashingEndpoint(Endpoint):
     """Ends and restarts when it begins to write the response to a request with the crashing part."""
 
     async def stream(self, headers, request_id, stamp, fault, writer):
-        if CRASHING_PART not in headers.get("x-prompt-prefix", ""):
+        if CRASHING_PART not in headers.get("x-prompt-prefix", "") or time.monotonic() > self.test.repaired_at:
             return await super().stream(headers, request_id, stamp, fault, writer)
         self.test.arrivals.append(time.monotonic())
         await asyncio.sleep(0.05)
@@ -58,6 +63,7 @@
         super().__init__(*arguments)
         self.arrivals = []
         self.crashes = []
+        self.repaired_at = float("inf")
         self.sound = []
         self.rejections = []
 
@@ -86,12 +92,34 @@
         await asyncio.gather(*tasks)
 
 
-async def run(binary, folder):
+async def start_test(binary, folder, settings):
     test = PromptPartTest(binary, 1, 0, folder)
+    test.gateway_settings = settings
     await test.set_up()
     for _ in range(ENDPOINTS - len(test.endpoints)):
         await test.add_endpoint()
     await asyncio.sleep(1)
+    return test
+
+
+async def check_release(binary, folder):
+    """Blocked parts are tried and, once they no longer crash endpoints, released on all VMs."""
+    test = await start_test(binary, folder, {"promptBlockSeconds": BLOCK_SECONDS})
+    test.repaired_at = time.monotonic() + REPAIR_AFTER
+    await test.run()
+    await test.stop_gateways()
+    log = "".join(path.read_text() for path in folder.glob("gateway-*.log"))
+    trials = log.count('"prompt-parts-tried"')
+    later = [outcome for started_at, outcome in test.rejections if started_at > test.repaired_at + RELEASE_SECONDS]
+    print(f"{len(test.crashes)} crashes, {trials} trials, {later.count('served')} of {len(later)} requests with the part served after the repair")
+    # The trials before the repair each crash one endpoint.
+    if trials < 1 or len(test.crashes) > CRASHES_BEFORE_STOP + trials:
+        return [f"BUDGET: {len(test.crashes)} crashes, {trials} trials"]
+    return [] if later and later.count("served") == len(later) else ["LOST: requests are rejected after the repair"]
+
+
+async def run(binary, folder):
+    test = await start_test(binary, folder, {})
     await test.run()
     await test.stop_gateways()
     violations = list(test.checker.violations)
@@ -105,6 +133,9 @@
     refused = [outcome for started_at, outcome in test.rejections if started_at > last + STABLE_WINDOW]
     if len(late) <= MAX_LATE_SENDS and refused.count("refused") < len(refused) - MAX_LATE_SENDS:
         violations.append(f"REFUSED: only {refused.count('refused')} of {len(refused)} requests with the part were rejected as not run")
+    release_folder = folder / "release"
+    release_folder.mkdir()
+    violations += await check_release(binary, release_folder)
     print(f"{len(test.crashes)} crashes, {len(late)} late sends, {sound.count('served')} of {len(sound)} sound requests served")
     print("\n".join(violations))
     return 1 if violations else 0
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -112,7 +112,7 @@
 
 
 class Gateway:
-    def __init__(self, binary, index, ports, store_address, folder):
+    def __init__(self, binary, index, ports, store_address, folder, more_settings=None):
         self.ip = f"127.0.0.{index + 2}"
         self.port = ports[0]
         self.metrics_port = ports[3]
@@ -120,7 +120,7 @@
         self.settings.write_text(json.dumps({
             "vm": f"vm-{index}", "zone": f"zone-{index % 2}", "ip": self.ip, "callerAddress": f"{self.ip}:{ports[0]}",
             "readinessAddress": f"{self.ip}:{ports[1]}", "storeAddress": store_address, "peerPort": ports[2], "metricsPort": ports[3],
-            "drainGraceSeconds": DRAIN_GRACE_MS / 1000}))
+            "drainGraceSeconds": DRAIN_GRACE_MS / 1000, **(more_settings or {})}))
         self.log = open(folder / f"gateway-{index}.log", "ab")
         self.binary = binary
         self.process = None
@@ -156,6 +156,7 @@
         self.version = 1
         self.endpoint_count = 0
         self.route_timeout_ms = int(ROUTE_TIMEOUT * 1000)
+        self.gateway_settings = {}
         self.recovery = {"asked": 0, "served": 0}
         self.recovery_started = False
 
@@ -223,7 +224,7 @@
             proxy = Proxy(self.store.port)
             await proxy.start()
             self.store_proxies.append(proxy)
-            gateway = Gateway(self.binary, index, ports, proxy.address, self.folder)
+            gateway = Gateway(self.binary, index, ports, proxy.address, self.folder, self.gateway_settings)
             gateway.start()
             self.gateways.append(gateway)
         self.checker.gateways = self.gateways
