--- a/review/standins/outside.py
+++ b/review/standins/outside.py
@@ -318,7 +318,7 @@
           "usual": {"prompt": 5000, "answer": 400}, "hop_ms": 0.05}
 
 
-def document(version, routes, services, engines=()):
+def document(version, routes, services, engines=(), max_body_bytes=4194304):
     """A desired state. Services named in engines are served by model workers."""
     entries = [{"name": name, "health_path": "/healthz", "max_connections": 264, "protocol": "h1", "tls": False} for name in services]
     for entry in entries:
@@ -326,7 +326,7 @@
             entry["engine"] = ENGINE
     return json.dumps({
         "version": version, "routes": routes, "services": entries,
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}]}).encode()
 
 
@@ -356,10 +356,10 @@
             if head is not None:
                 status, answer_headers = int(head[0].split()[1]), head[1]
                 if answer_headers.get("transfer-encoding") == "chunked":
-                    while size := int((await reader.readline()).strip() or b"0", 16):
+                    while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
                         content += await reader.readexactly(size)
                         await reader.readexactly(2)
-                    await reader.readline()
+                    await reader.readuntil(b"\r\n")
                 else:
                     content = await reader.readexactly(int(answer_headers.get("content-length", 0)))
                 is_whole = True
@@ -371,6 +371,37 @@
     return Answer(status, answer_headers, content, is_whole, started, time.monotonic())
 
 
+class KeptChannel:
+    """A channel that a requester keeps open for many requests; a new one is opened when the gateway has closed it or asked to."""
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.reader = self.writer = None
+
+    async def request(self, request_id, path, body, limit_ms):
+        """Returns the status of the answer, or 0 if there was none, and whether the channel had carried a request before."""
+        was_kept = self.writer is not None
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                if not was_kept:
+                    self.reader, self.writer = await asyncio.open_connection(self.gateway.ip, self.gateway.port, limit=1 << 20)
+                text = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: {limit_ms}\r\nX-Credential: {KEY}\r\n"
+                self.writer.write(f"{text}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                start, fields = await read_head(self.reader)
+                await self.reader.readexactly(int(fields.get("content-length", 0)))
+                if fields.get("connection") == "close":
+                    self.close()
+                return int(start.split()[1]), was_kept
+        except (OSError, TypeError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            self.close()
+            return 0, was_kept
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.writer = None
+
+
 class Record:
     """What was sent, answered and run, in record.txt beside the script."""
 
