--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,70 +1,93 @@
-"""One model worker of several sends bytes that are no answer without end, in the body of its answers. All other workers are sound."""
+"""Requests with one part of a prompt crash each worker as it begins to write the answer: the first bytes of the head are out, the rest is lost."""
 
 import asyncio
-import json
 import pathlib
 import random
-import subprocess
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from outside import Gateway, Store, StreamingWorker, Worker, document, free_ports, request, route, run_case
+from outside import CHECK_IN_SECONDS, Gateway, Record, Store, StreamingWorker, document, free_ports, request, route, run_case
 
-GATEWAYS = 2
-SOUND_WORKERS = 5
-SECONDS = 15
-STREAMS_PER_S = 12.0
-CALLS_PER_S = 6.0
-STREAM_TIMEOUT_MS = 4000
-STREAM_LIMIT_MS = 10000
+GATEWAYS = 3
+WORKERS = 14
+SECONDS = 25
+SOUND_PER_S = 20.0
+CRASHING_PER_S = 1.5
+BACK_AFTER = 2.0  # A crashed worker is back after some seconds.
+SHARED_PART = "5c1e07a2:40"
+CRASHING_PART = "91bd3f06:410"
 
 # Of the rule.
-LATE_SECONDS = 0.5
-MIN_LATE = 8
-LATE_SHARE = 0.25
+STABLE_WINDOW = 3.0
+CRASHES = 5
+ALLOWED_REQUESTS = 3
+
+
+class CrashingWorker(StreamingWorker):
+    def __init__(self, number, case):
+        super().__init__(f"i-{number}", "doc-reader")
+        self.number = number
+        self.case = case
+        self.starts = 0
+
+    async def run(self, start, headers, body, writer):
+        if CRASHING_PART not in headers.get("x-prompt-prefix", ""):
+            await super().run(start, headers, body, writer)
+            return
+        request_id = headers["x-request-id"]
+        self.case.arrivals.append(time.monotonic())
+        self.case.record.write(f"{self.instance_id} runs {request_id} with the part")
+        if not self.case.trouble:
+            await super().run(start, headers, body, writer)
+            return
+        await asyncio.sleep(0.05)
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if self.server:
+            self.case.record.write(f"{self.instance_id} crashes")
+            self.case.crashes.append(time.monotonic())
+            asyncio.ensure_future(self.come_back(self.instance_id))
+            self.exit()
+
+    async def come_back(self, former_id):
+        await asyncio.sleep(BACK_AFTER)
+        self.starts += 1
+        self.instance_id = f"i-{self.number}-{self.starts}"
+        self.born = int(time.time() * 1000)
+        await self.start()
+        await self.register(self.case.store)
+        await asyncio.sleep(3 * CHECK_IN_SECONDS - BACK_AFTER)
+        self.case.store.put("keyed.servers", former_id, None)
 
 
 class Case:
     async def run(self, record, folder, trouble):
-        self.record = record
-        self.answers = []
-        store = Store()
-        await store.start()
-        routes = [route("r-audit", "/audit/", "streaming", "doc-reader", STREAM_TIMEOUT_MS, max_attempts=2, sticky=True, resumable=True),
-                  route("r-status", "/status/", "idempotent", "credit-desk", 800, max_attempts=2)]
-        store.put("keyed.op", "config", document(1, routes, ["doc-reader", "credit-desk"], engines=["doc-reader"]))
-        workers = [StreamingWorker(f"i-7f3a91c{number}", "doc-reader") for number in range(SOUND_WORKERS)] + [Worker("i-desk", "credit-desk")]
+        self.record, self.trouble = record, trouble
+        self.arrivals, self.crashes, self.outcomes = [], [], []
+        self.store = Store()
+        await self.store.start()
+        routes = [route("r-audit", "/audit/", "streaming", "doc-reader", 10000, max_attempts=2, sticky=True, resumable=True)]
+        self.store.put("keyed.op", "config", document(1, routes, ["doc-reader"], engines=["doc-reader"]))
+        workers = [CrashingWorker(number, self) for number in range(WORKERS)]
         for worker in workers:
             await worker.start()
-            await worker.register(store)
-        sent_path = folder / "faulty.txt"
-        with open(sent_path, "w") as sent:
-            faulty = subprocess.Popen([sys.executable, "-B", str(FOLDER.parent / "standins/endless.py"), "endless" if trouble else "sound"],
-                                      stdout=subprocess.PIPE, stderr=sent, text=True)
+            await worker.register(self.store)
         ports = free_ports("127.0.0.1", 4)
-        gateways = [Gateway(index, "jm-south-a", ports, store.address, folder) for index in range(GATEWAYS)]
+        gateways = [Gateway(index, "jm-south-a", ports, self.store.address, folder) for index in range(GATEWAYS)]
         try:
-            entry = {"service": "doc-reader", "address": f"127.0.0.1:{int(faulty.stdout.readline())}", "zone": "jm-south-a", "version": "v1", "slots": 16,
-                     "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": int(time.time() * 1000)}
-            store.put("keyed.servers", "i-02d9e6b4", json.dumps(entry).encode())
             for gateway in gateways:
                 gateway.start()
             for gateway in gateways:
                 await gateway.wait_until_ready()
-            await asyncio.sleep(3.5)
+            await asyncio.sleep(STABLE_WINDOW + 0.5)
             await self.send_requests(gateways)
-            for gateway in gateways:
-                record.write(f"{gateway.name}: peak memory {gateway.peak_memory_mb():.0f} MB")
         finally:
             for gateway in gateways:
                 gateway.stop()
-            faulty.kill()
-            faulty.wait()
-        for line in sent_path.read_text().splitlines():
-            record.write(f"faulty worker: {line}")
         return self.judge()
 
     async def send_requests(self, gateways):
@@ -72,32 +95,30 @@
         tasks = []
         began = time.monotonic()
         while time.monotonic() - began < SECONDS:
-            await asyncio.sleep(draw.expovariate(STREAMS_PER_S + CALLS_PER_S))
-            is_stream = draw.random() < STREAMS_PER_S / (STREAMS_PER_S + CALLS_PER_S)
-            tasks.append(asyncio.create_task(self.send(draw.choice(gateways), len(tasks), is_stream)))
+            await asyncio.sleep(draw.expovariate(SOUND_PER_S + CRASHING_PER_S))
+            has_part = draw.random() < CRASHING_PER_S / (SOUND_PER_S + CRASHING_PER_S)
+            tasks.append(asyncio.create_task(self.send(draw.choice(gateways), len(tasks), has_part)))
         await asyncio.gather(*tasks)
 
-    async def send(self, gateway, number, is_stream):
-        request_id = f"{'audit' if is_stream else 'status'}-{number:04x}"
+    async def send(self, gateway, number, has_part):
+        request_id = f"{'part' if has_part else 'sound'}-{number:04x}"
+        parts = f"{SHARED_PART},{CRASHING_PART + ',' if has_part else ''}{number:08x}:460"
         self.record.write(f"{request_id} is sent to {gateway.name}")
-        if is_stream:
-            headers = {"X-Model": "m", "X-Token-Usage": "5000,400", "X-Prompt-Prefix": f"5c1e07a2:40,{number:08x}:4960"}
-            answer = await request(gateway, request_id, "/audit/2f", limit_ms=STREAM_LIMIT_MS, headers=headers)
-        else:
-            answer = await request(gateway, request_id, "/status/2f", "GET", limit_ms=1500)
-        ended = f"{answer.status}{' whole' if answer.is_whole else ' broken off'}" if answer.status else "no answer"
-        self.answers.append((is_stream, answer))
-        self.record.write(f"{request_id} ends after {answer.seconds:.2f} s with {ended}")
+        answer = await request(gateway, request_id, "/audit/2f", headers={"X-Model": "m", "X-Token-Usage": "910,400", "X-Prompt-Prefix": parts})
+        served = answer.status == 200 and answer.is_whole
+        self.outcomes.append((answer.started, has_part, served))
+        self.record.write(f"{request_id} ends after {answer.seconds:.2f} s with {answer.status}{' whole' if answer.is_whole else ' broken off'}")
 
     def judge(self):
-        long = [answer for is_stream, answer in self.answers if is_stream and answer.seconds > STREAM_TIMEOUT_MS / 1000]
-        late = [answer for answer in long if answer.seconds > STREAM_TIMEOUT_MS / 1000 + LATE_SECONDS]
-        calls = sorted(answer.seconds for is_stream, answer in self.answers if not is_stream)
-        text = (f"{len(long)} streams lasted longer than the {STREAM_TIMEOUT_MS} ms of their route, {len(late)} had no final answer {LATE_SECONDS} s later, of "
-                f"{sum(is_stream for is_stream, _ in self.answers)}; median of the calls at the sound service {calls[len(calls) // 2]:.2f} s, most {calls[-1]:.2f} s")
-        self.record.write(text)
-        print(text)
-        return len(late) >= MIN_LATE and len(late) > LATE_SHARE * len(long)
+        sound = [served for _, has_part, served in self.outcomes if not has_part]
+        self.record.write(f"{len(self.crashes)} crashes of {WORKERS} workers; {sum(sound)} of {len(sound)} sound requests were served")
+        if len(self.crashes) < CRASHES:
+            return False
+        fifth = sorted(self.crashes)[CRASHES - 1]
+        late = [arrival for arrival in self.arrivals if arrival > fifth + STABLE_WINDOW]
+        self.record.write(f"{len(late)} requests with the part reached workers later than {STABLE_WINDOW} s after the fifth crash; {ALLOWED_REQUESTS} may")
+        print(f"{len(self.crashes)} crashes, {len(late)} late arrivals, {sum(sound)} of {len(sound)} sound requests served")
+        return len(late) > ALLOWED_REQUESTS
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,39 +1,56 @@
-"""A new desired state allows larger requests. Requesters that keep their channels send such requests when the version has long been in force."""
+"""The last worker of a service that is left pauses for less time than requesters wait. Meanwhile one VM is stopped, as planned."""
 
 import asyncio
 import pathlib
+import random
+import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from outside import Gateway, KeptChannel, Store, Worker, document, free_ports, route, run_case
+from outside import Gateway, Store, StreamingWorker, document, free_ports, request, route, run_case
 
 GATEWAYS = 3
-CHANNELS = 24
-ROUNDS = 3
-OLD_LIMIT = 4194304
-NEW_LIMIT = 8388608
-SMALL = b"x" * 600
-LARGE = b"x" * 5000000
-APPLY_SECONDS = 2.0  # config_apply_ms
+STREAMS_PER_S = 8.0
+PAUSE_SECONDS = 1.7  # Requesters wait for two seconds at least.
+SCALE_IN_SECONDS = 4.0  # From the draining entry of the other worker to its end.
+
+# Of the rule.
 STABLE_WINDOW = 3.0
+GRACE_SECONDS = 8.0
+
 
+class PausingWorker(StreamingWorker):
+    """Preempts every second stream after its third event, and goes on with it when its prompt has been read again."""
 
-def allowed_refusals(count):
-    return 5 + count / 500
+    pauses = False
+    whole = 0
+
+    async def run(self, _start, headers, _body, writer):
+        fields = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked", **self.stamp(headers)}
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n").encode())
+        is_preempted = self.pauses and len(self.runs) % 2 == 0
+        for number in range(int(headers.get("last-event-id", -1)) + 1, self.EVENTS):
+            await asyncio.sleep(PAUSE_SECONDS if is_preempted and number == 3 else self.EVENT_SECONDS)
+            event = f"id: {number}\ndata: {headers.get('x-request-id')} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
 
 
 class Case:
     async def run(self, record, folder, trouble):
         self.record = record
-        self.sent = 0
+        self.answers = []
         store = Store()
         await store.start()
-        routes = [route("r-issue", "/issue/", "non_idempotent", "credit-desk", 4000)]
-        store.put("keyed.op", "config", document(1, routes, ["credit-desk"], max_body_bytes=OLD_LIMIT if trouble else NEW_LIMIT))
-        workers = [Worker(f"i-{number}", "credit-desk") for number in range(3)]
-        for worker in workers:
+        routes = [route("r-check", "/check/", "streaming", "doc-reader", 10000, max_attempts=2, sticky=True, resumable=True)]
+        store.put("keyed.op", "config", document(1, routes, ["doc-reader"], engines=["doc-reader"]))
+        staying, leaving = PausingWorker("i-7f3a91c2", "doc-reader"), PausingWorker("i-02d9e6b4", "doc-reader")
+        for worker in (staying, leaving):
             await worker.start()
             await worker.register(store)
         ports = free_ports("127.0.0.1", 4)
@@ -43,37 +60,51 @@
                 gateway.start()
             for gateway in gateways:
                 await gateway.wait_until_ready()
-            await asyncio.sleep(STABLE_WINDOW + 0.5)
-            channels = [KeptChannel(gateways[number % GATEWAYS]) for number in range(CHANNELS)]
-            statuses = []
-            for channel in channels:
-                statuses.append(await self.send(channel, SMALL))
-            if trouble:
-                store.put("keyed.op", "config", document(2, routes, ["credit-desk"], max_body_bytes=NEW_LIMIT))
-                record.write(f"version 2 is confirmed: bodies of up to {NEW_LIMIT} bytes instead of {OLD_LIMIT}")
-            for _ in range(int(APPLY_SECONDS + 1)):
-                await asyncio.sleep(1)
-                for channel in channels:
-                    statuses.append(await self.send(channel, SMALL))
-            for _ in range(ROUNDS):
-                for channel in channels:
-                    statuses.append(await self.send(channel, LARGE))
+            await asyncio.sleep(STABLE_WINDOW)
+            leaving.check_ins.cancel()
+            store.put("keyed.servers", leaving.instance_id, leaving.entry("draining"))
+            record.write(f"{leaving.instance_id} is draining")
+            await asyncio.sleep(SCALE_IN_SECONDS)
+            store.put("keyed.servers", leaving.instance_id, None)
+            leaving.exit()
+            record.write(f"{leaving.instance_id} is gone")
+            await asyncio.sleep(STABLE_WINDOW)
+            staying.pauses = trouble
+            await self.send_streams(gateways, gateways[0])
         finally:
             for gateway in gateways:
                 gateway.stop()
-        refused = statuses.count(413)
-        text = f"{refused} of {len(statuses)} requests got 413; {allowed_refusals(len(statuses)):.2f} may; {statuses.count(200)} were served"
+        cut = [answer for name, answer in self.answers if name == gateways[0].name and answer.status == 200 and not answer.is_whole]
+        elsewhere = [answer for name, answer in self.answers if name != gateways[0].name and not answer.is_whole]
+        text = (f"{len(cut)} streams at the VM that was stopped ended without a complete answer, {len(elsewhere)} at the others, of {len(self.answers)}; "
+                f"whole: {sum(answer.status == 200 and answer.is_whole for _, answer in self.answers)}")
         record.write(text)
         print(text)
-        return refused > allowed_refusals(len(statuses))
+        return bool(cut)
+
+    async def send_streams(self, gateways, stopped):
+        draw = random.Random(27)
+        tasks = []
+        began = time.monotonic()
+        stop_at = began + 1.5
+        # Requests count for the rule if they are sent around the SIGTERM; all of them end long before the last sixth of the grace period.
+        while time.monotonic() - began < 3.0:
+            await asyncio.sleep(draw.expovariate(STREAMS_PER_S))
+            if stop_at and time.monotonic() > stop_at:
+                stop_at = None
+                stopped.process.send_signal(signal.SIGTERM)
+                self.record.write(f"{stopped.name} gets SIGTERM")
+            tasks.append(asyncio.create_task(self.send(draw.choice(gateways), len(tasks))))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(GRACE_SECONDS)
 
-    async def send(self, channel, body):
-        self.sent += 1
-        request_id = f"issue-{self.sent:04x}"
-        self.record.write(f"{request_id} with {len(body)} bytes is sent to {channel.gateway.name}")
-        status, was_kept = await channel.request(request_id, "/issue/2f", body, 8000)
-        self.record.write(f"{request_id} ends with {status or 'no answer'} on a {'kept' if was_kept else 'new'} channel")
-        return status
+    async def send(self, gateway, number):
+        request_id = f"check-{number:04x}"
+        self.record.write(f"{request_id} is sent to {gateway.name}")
+        headers = {"X-Model": "m", "X-Token-Usage": "5000,400", "X-Prompt-Prefix": f"5c1e07a2:40,{number:08x}:4960"}
+        answer = await request(gateway, request_id, "/check/2f", headers=headers)
+        self.answers.append((gateway.name, answer))
+        self.record.write(f"{request_id} ends after {answer.seconds:.2f} s with {answer.status}{' whole' if answer.is_whole else ' broken off'}, {answer.body.count(b'data:')} events")
 
 
 if __name__ == "__main__":
