--- a/review/standins/outside.py
+++ b/review/standins/outside.py
@@ -19,6 +19,12 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = "desk.example"
 CHECK_IN_SECONDS = 1.2
+
+# Exit statuses of the cases. run.sh reports BROKEN as 1, which Python also uses for an error in the case itself.
+HELD = 0
+CANNOT_RUN = 2
+BROKEN = 10
+
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
 
@@ -415,17 +421,18 @@
 
 
 def run_case(case, folder):
-    """Runs case(record, temporary folder, trouble). Returns the exit status: 1 if the rule was broken, 0 if it held, 2 if it could not be run."""
+    """Runs case(record, temporary folder, trouble), which returns whether the rule was broken. Returns the exit status."""
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if trouble else 'no'}")
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            broken = asyncio.run(case(record, pathlib.Path(temporary), trouble))
+            is_broken = asyncio.run(case(record, pathlib.Path(temporary), trouble))
     except (CannotRun, OSError) as error:
         record.write(f"cannot run: {error}")
         print(f"cannot run: {error}")
-        return 2
-    record.write("the rule was broken" if broken else "the rule held")
-    print("the rule was broken" if broken else "the rule held")
-    return 1 if broken else 0
+        return CANNOT_RUN
+    verdict = "the rule was broken" if is_broken else "the rule held"
+    record.write(verdict)
+    print(verdict)
+    return BROKEN if is_broken else HELD
