Review: Cut streams while the other endpoints are full

Cause: the case had a single endpoint left, which is rarer than full ones. Added: nothing; review/5 now has three endpoints, two of them full.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""The last worker of a service that is left pauses for less time than requesters wait. Meanwhile one VM is stopped, as planned."""
+"""A worker pauses in streams for less time than requesters wait, while the others are full. Meanwhile one VM is stopped, as planned."""
 
 import asyncio
 import pathlib
@@ -10,12 +10,12 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from outside import Gateway, Store, StreamingWorker, document, free_ports, request, route, run_case
+from outside import Gateway, Store, StreamingWorker, document, free_ports, request, response, route, run_case
 
 GATEWAYS = 3
 STREAMS_PER_S = 8.0
 PAUSE_SECONDS = 1.7  # Requesters wait for two seconds at least.
-SCALE_IN_SECONDS = 4.0  # From the draining entry of the other worker to its end.
+WORKERS = 3
 
 # Of the rule.
 STABLE_WINDOW = 3.0
@@ -23,12 +23,16 @@
 
 
 class PausingWorker(StreamingWorker):
-    """Preempts every second stream after its third event, and goes on with it when its prompt has been read again."""
+    """Preempts every second stream after its third event, and goes on with it when its prompt has been read again. Rejects requests while it is full."""
 
     pauses = False
-    whole = 0
+    is_full = False
 
     async def run(self, _start, headers, _body, writer):
+        if self.is_full:
+            writer.write(response(503, headers={"X-Not-Executed": "1", "X-Request-Id": headers["x-request-id"]}))
+            await writer.drain()
+            return
         fields = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked", **self.stamp(headers)}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n").encode())
         is_preempted = self.pauses and len(self.runs) % 2 == 0
@@ -49,8 +53,8 @@
         await store.start()
         routes = [route("r-check", "/check/", "streaming", "doc-reader", 10000, max_attempts=2, sticky=True, resumable=True)]
         store.put("keyed.op", "config", document(1, routes, ["doc-reader"], engines=["doc-reader"]))
-        staying, leaving = PausingWorker("i-7f3a91c2", "doc-reader"), PausingWorker("i-02d9e6b4", "doc-reader")
-        for worker in (staying, leaving):
+        workers = [PausingWorker(f"i-7f3a91c{number}", "doc-reader") for number in range(WORKERS)]
+        for worker in workers:
             await worker.start()
             await worker.register(store)
         ports = free_ports("127.0.0.1", 4)
@@ -60,16 +64,11 @@
                 gateway.start()
             for gateway in gateways:
                 await gateway.wait_until_ready()
-            await asyncio.sleep(STABLE_WINDOW)
-            leaving.check_ins.cancel()
-            store.put("keyed.servers", leaving.instance_id, leaving.entry("draining"))
-            record.write(f"{leaving.instance_id} is draining")
-            await asyncio.sleep(SCALE_IN_SECONDS)
-            store.put("keyed.servers", leaving.instance_id, None)
-            leaving.exit()
-            record.write(f"{leaving.instance_id} is gone")
-            await asyncio.sleep(STABLE_WINDOW)
-            staying.pauses = trouble
+            await asyncio.sleep(STABLE_WINDOW + 0.5)
+            for worker in workers[1:]:
+                worker.is_full = True
+            workers[0].pauses = trouble
+            record.write(f"{', '.join(worker.instance_id for worker in workers[1:])} are full")
             await self.send_streams(gateways, gateways[0])
         finally:
             for gateway in gateways:
