Review: Put the shared stand-ins beside the cases

Cause: review/ had a sixth folder, and a case is a folder 1 to 5; a script that was stopped by a signal left its processes. Added: a limit of 110 s for each script, and an orderly end on SIGTERM.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from outside import CHECK_IN_SECONDS, Gateway, Record, Store, StreamingWorker, document, free_ports, request, route, run_case
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from outside import Gateway, Store, Worker, document, free_ports, read_head, request, route, run_case
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from outside import Gateway, Store, StreamingWorker, document, free_ports, request, response, route, run_case
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 command -v python3 >/dev/null || { echo "python3 is missing"; exit 2; }
-for source in standins/*.py */case.py; do
+for source in *.py */case.py; do
     python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$source"
 done
--- a/review/standins/outside.py
+++ b/review/outside.py
@@ -16,7 +16,7 @@
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "desk.example"
 CHECK_IN_SECONDS = 1.2
 
@@ -25,6 +25,9 @@
 CANNOT_RUN = 2
 BROKEN = 10
 
+# A case that takes longer ends as one that could not run.
+LIMIT_SECONDS = 110
+
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
 
@@ -420,6 +423,13 @@
         self.file.flush()
 
 
+async def run_limited(case, record, folder, trouble):
+    """Runs the case. At the time limit and on SIGTERM it is cancelled, so that it ends the processes that it has started."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    async with asyncio.timeout(LIMIT_SECONDS):
+        return await case(record, folder, trouble)
+
+
 def run_case(case, folder):
     """Runs case(record, temporary folder, trouble), which returns whether the rule was broken. Returns the exit status."""
     record = Record(folder)
@@ -427,10 +437,10 @@
     record.write(f"trouble: {'yes' if trouble else 'no'}")
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            is_broken = asyncio.run(case(record, pathlib.Path(temporary), trouble))
-    except (CannotRun, OSError) as error:
-        record.write(f"cannot run: {error}")
-        print(f"cannot run: {error}")
+            is_broken = asyncio.run(run_limited(case, record, pathlib.Path(temporary), trouble))
+    except (CannotRun, OSError, asyncio.CancelledError) as error:
+        record.write(f"cannot run: {error!r}")
+        print(f"cannot run: {error!r}")
         return CANNOT_RUN
     verdict = "the rule was broken" if is_broken else "the rule held"
     record.write(verdict)
