RequestExchange: Keep a silent attempt open until another endpoint takes over

Streams without an event ended with 502, and so did idempotent requests after half of their timeout.

Cause: after 1.2 s of silence the connection to the endpoint was closed before another endpoint had accepted the request. When the others rejected it, or none was left, the request had no run any more. Evidence: attempt-failed with outcome silent, rejections, and finished with cut, in this order, for each cut stream, also at VMs that were not being stopped; the endpoint ended none of them.

Change: the silent attempt stays open while other endpoints are asked, and the first new event or complete response decides which attempt goes on. Events that the caller has are dropped by their id, so none is sent twice or left out. If nobody takes the request over it waits for the silent endpoint until its deadline (NextStep::WaitForSilentAttempt). Without an event yet, silent attempts end when the next endpoint has not rejected the request for 400 ms, so that a prompt that crashes endpoints is not processed by two of them. A retry is charged to the budget when it is sent. The state of an attempt is a class of its own, EndpointAttempt.

--- a/src/gateway/nextstep.cpp
+++ b/src/gateway/nextstep.cpp
@@ -11,6 +11,9 @@
     if (isAllowed && !state.mayCrashEndpoint && isWithinBudget && state.hasTimeLeft && state.attempts < MaxAttempts) {
         return NextStep::Retry;
     }
+    if (state.hasSilentAttempt) {
+        return NextStep::WaitForSilentAttempt;
+    }
     if (state.responseStarted) {
         return NextStep::AbortResponse;
     }
--- a/src/gateway/nextstep.h
+++ b/src/gateway/nextstep.h
@@ -16,12 +16,14 @@
     bool hasRetryBudget = false; ///< The fleet's retry budget allows another retry.
     bool hasTimeLeft = false;
     bool responseStarted = false; ///< The caller has received a part of the response.
+    bool hasSilentAttempt = false; ///< An attempt is open whose endpoint has been silent for long, and may still respond.
     bool mayCrashEndpoint = false; ///< The last run ended with a crash of its endpoint, and the next one probably would, too.
     bool hasErrorResponse = false; ///< The endpoint's own error response can be relayed.
 };
 
 enum class NextStep {
     Retry, ///< Send the request to another endpoint.
+    WaitForSilentAttempt, ///< Wait until an endpoint that has been silent responds.
     RelayErrorResponse, ///< Relay the error response of the endpoint.
     ReportNotRun, ///< Send an error response with the statement that the request has not run.
     ReportMayHaveRun, ///< Send an error response with the statement that the request may have run.
@@ -31,7 +33,8 @@
 /// Maximum number of attempts for one request, regardless of their outcomes.
 inline constexpr int MaxAttempts = 4;
 
-/// Decides how to proceed after a failed attempt. A request that must not run twice is retried only if no attempt may have run it.
+/// Decides how to proceed after an attempt has failed or is silent. A request that must not run twice is retried only if no attempt may have run it. A
+/// request whose endpoint is only silent is not given up, because the endpoint may be processing it.
 NextStep nextStep(const RetryState &state);
 
 }
--- a/src/gateway/relayedstream.cpp
+++ b/src/gateway/relayedstream.cpp
@@ -15,8 +15,7 @@
     std::string bytes;
     const std::size_t countBefore = eventCount_;
     for (const StreamEvent &event : events) {
-        const bool isDuplicate = event.id && lastEventId_ && *event.id <= *lastEventId_;
-        if (isDuplicate) {
+        if (isDuplicate(event)) {
             continue;
         }
         bytes += event.bytes;
@@ -35,6 +34,16 @@
     return bytes;
 }
 
+bool RelayedStream::hasNewEvent(const std::vector<StreamEvent> &events) const
+{
+    return std::any_of(events.begin(), events.end(), [this](const StreamEvent &event) { return !event.isComment && !isDuplicate(event); });
+}
+
+bool RelayedStream::isDuplicate(const StreamEvent &event) const
+{
+    return event.id && lastEventId_ && *event.id <= *lastEventId_;
+}
+
 std::optional<std::uint64_t> RelayedStream::lastEventId() const
 {
     return lastEventId_;
--- a/src/gateway/relayedstream.h
+++ b/src/gateway/relayedstream.h
@@ -21,6 +21,9 @@
     /// Returns the bytes of @p events to relay to the caller, without events that it has already received.
     std::string accept(const std::vector<StreamEvent> &events, TimePoint now);
 
+    /// Whether one of @p events is an event, and not a comment, that the caller has not received yet.
+    [[nodiscard]] bool hasNewEvent(const std::vector<StreamEvent> &events) const;
+
     /// The last event that the caller has received, after which another endpoint has to resume the stream.
     [[nodiscard]] std::optional<std::uint64_t> lastEventId() const;
     [[nodiscard]] std::size_t eventCount() const;
@@ -28,6 +31,8 @@
     [[nodiscard]] Duration longestPause() const;
 
 private:
+    [[nodiscard]] bool isDuplicate(const StreamEvent &event) const;
+
     std::optional<std::uint64_t> lastEventId_;
     std::size_t eventCount_ = 0;
     std::optional<TimePoint> firstEventAt_;
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <iterator>
 
 namespace Lentillock
 {
@@ -34,6 +35,10 @@
 constexpr Duration MinInactivityTimeout = 1200ms;
 constexpr int EventPauseTimeoutFactor = 4;
 
+/// An endpoint that has not rejected a request after this time has accepted it. Full endpoints reject at once; allows for two round trips between
+/// availability zones and one retransmission.
+constexpr Duration RejectionTime = 400ms;
+
 /// An engine admits short prompts before long ones; 0 is the highest priority.
 constexpr int ShortPromptPriorityClass = 2;
 constexpr int LongPromptPriorityClass = 6;
@@ -52,6 +57,9 @@
 /// Delay after which a rejected caller is asked to retry, unless a longer one is estimated.
 constexpr milliseconds DefaultRetryAfter{300};
 
+/// Responses of endpoints with this status and above report a failure.
+constexpr unsigned FirstServerFailureStatus = 500;
+
 /// Work of a request without a prompt, which needs no processing time and no memory.
 constexpr WorkItem PromptlessWork{};
 
@@ -106,7 +114,7 @@
 
 RequestExchange::~RequestExchange()
 {
-    endAttempt();
+    endAttempts();
     context_.timers.cancel(deadlineTimer_);
     context_.promptPartGuard.unsubscribe(blockSubscription_);
 }
@@ -244,10 +252,10 @@
         sendErrorResponse(503, "overloaded", "the endpoints have too much to read", cappedRetryAfter(pause, deadline_ - now));
         return;
     }
+    if (retryState_.attempts > 0 && retryState_.outcome != AttemptOutcome::NotConnected) {
+        context_.retryBudget.takeRetry(service_->name, context_.vmCount(), now);
+    }
     ++retryState_.attempts;
-    attempt_ = std::make_unique<Attempt>();
-    attempt_->endpoint = *placement.endpoint;
-    attempt_->startedAt = now;
     WorkItem item = PromptlessWork;
     if (placement.prefillMs > 0) {
         item = {.prefillMs = placement.prefillMs,
@@ -255,12 +263,8 @@
                 .decodeMs = service_->engine->decodeMs(caller_.expectedOutputTokens.value_or(caller_.maxOutputTokens)),
                 .role = placement.isLong ? WorkRole::LongPrompt : WorkRole::ShortPrompt};
     }
-    attempt_->loadTicket = context_.fleetLoad.begin(attempt_->endpoint.id, item, now);
-    for (const EndpointRecord *helper : placement.helpers) {
-        const WorkItem helperWork{.prefillMs = placement.prefillMs, .memoryTokens = static_cast<double>(placement.helperTokens), .role = WorkRole::Helper};
-        attempt_->helperLoadTickets.push_back(context_.fleetLoad.begin(helper->id, helperWork, now));
-    }
-    attempt_->placement = std::move(placement);
+    attempt_ = std::make_unique<EndpointAttempt>(context_.fleetLoad, retryState_.attempts, std::move(placement), now);
+    attempt_->addLoad(item, now);
     triedEndpoints_.insert(attempt_->endpoint.id);
     if (attempt_->placement.helperTokens == 0) {
         sendRequest(now);
@@ -325,7 +329,7 @@
     const auto self = shared_from_this();
     retryState_.mayHaveRun = retryState_.mayHaveRun || (attempt_ && attempt_->isSent);
     // Closing the connection makes the endpoint drop the request before it begins the response.
-    endAttempt();
+    endAttempts();
     if (!rejectIfBlocked(now)) {
         sendBlockedResponse(context_.settings.promptBlockTime);
     }
@@ -392,219 +396,294 @@
     const ConnectionReuse reuse = allowsMultipleRuns() ? ConnectionReuse::Allowed : ConnectionReuse::Never;
     attempt_->connection = context_.connectionPool.acquire(attempt_->endpoint, reuse, now);
     attempt_->isSent = true;
-    const std::weak_ptr<RequestExchange> weakSelf = weak_from_this();
-    HttpClientConnection::Handlers handlers;
-    handlers.onHead = [weakSelf](const HttpHead &head) {
+    const HttpClientConnectionPointer connection = attempt_->connection;
+    connection->exchange(context_.wire.endpointRequest(request_.head, request_.body, options), responseHandlers(attempt_->number));
+    startInactivityTimer(now);
+    // Two endpoints at most should process a prompt at the same time, because it may crash both. A stream that has begun has shown that its prompt is sound.
+    if (!silentAttempts_.empty() && !retryState_.responseStarted) {
+        acceptanceTimer_ = scheduleAt(now + RejectionTime, &RequestExchange::onRequestAccepted);
+    }
+}
+
+HttpClientConnection::Handlers RequestExchange::responseHandlers(int number)
+{
+    const auto withAttempt = [weakSelf = weak_from_this(), number](const auto &handle) {
         const auto self = weakSelf.lock();
-        return self ? self->onHead(head) : ResponseDisposition::Skip;
-    };
-    handlers.onBody = [weakSelf](const std::string &bytes) {
-        if (const auto self = weakSelf.lock()) {
-            self->onBody(bytes);
+        if (EndpointAttempt *attempt = self ? self->findAttempt(number) : nullptr) {
+            handle(*self, *attempt);
         }
     };
-    handlers.onFinished = [weakSelf] {
-        if (const auto self = weakSelf.lock()) {
-            self->onFinished();
-        }
+    HttpClientConnection::Handlers handlers;
+    handlers.onHead = [withAttempt](const HttpHead &head) {
+        ResponseDisposition disposition = ResponseDisposition::Skip;
+        withAttempt([&](RequestExchange &self, EndpointAttempt &attempt) { disposition = self.onHead(attempt, head); });
+        return disposition;
     };
-    handlers.onFailed = [weakSelf](ExchangeFailure failure) {
-        if (const auto self = weakSelf.lock()) {
-            self->onFailed(failure);
-        }
+    handlers.onBody
+        = [withAttempt](const std::string &bytes) { withAttempt([&bytes](RequestExchange &self, EndpointAttempt &attempt) { self.onBody(attempt, bytes); }); };
+    handlers.onFinished = [withAttempt] { withAttempt([](RequestExchange &self, EndpointAttempt &attempt) { self.onFinished(attempt); }); };
+    handlers.onFailed = [withAttempt](ExchangeFailure failure) {
+        withAttempt([failure](RequestExchange &self, EndpointAttempt &attempt) { self.onFailed(attempt, failure); });
     };
-    const HttpClientConnectionPointer connection = attempt_->connection;
-    connection->exchange(context_.wire.endpointRequest(request_.head, request_.body, options), std::move(handlers));
-    startInactivityTimer(now);
+    return handlers;
 }
 
-ResponseDisposition RequestExchange::onHead(const HttpHead &head)
+ResponseDisposition RequestExchange::onHead(EndpointAttempt &attempt, const HttpHead &head)
 {
     const ResponseHead response = context_.wire.responseHead(head);
     if (!response.requestId.isEmpty() && response.requestId != caller_.id) {
         context_.metrics.increment("lentillock_foreign_answers_total");
         return ResponseDisposition::Skip;
     }
-    attempt_->head = head;
-    attempt_->response = response;
-    EndpointStatements(context_).apply(attempt_->endpoint, response, caller_.id, monotonicNow());
-    attempt_->isRelayed = isSuccess(head.status) && response.hasServerStamp && route_->isStream;
+    attempt.head = head;
+    attempt.response = response;
+    EndpointStatements(context_).apply(attempt.endpoint, response, caller_.id, monotonicNow());
+    attempt.isRelayed = isSuccess(head.status) && response.hasServerStamp && route_->isStream;
     return ResponseDisposition::Accept;
 }
 
-void RequestExchange::onBody(std::string_view bytes)
+void RequestExchange::onBody(EndpointAttempt &attempt, std::string_view bytes)
 {
-    if (attempt_->isRelayed) {
-        relayEvents(bytes);
+    if (attempt.isRelayed) {
+        relayEvents(attempt, bytes);
     } else {
-        attempt_->body += bytes;
+        attempt.body += bytes;
     }
 }
 
-void RequestExchange::relayEvents(std::string_view bytes)
+void RequestExchange::relayEvents(EndpointAttempt &attempt, std::string_view bytes)
 {
     const TimePoint now = monotonicNow();
+    const std::vector<StreamEvent> events = attempt.events.feed(bytes);
+    if (stream_.hasNewEvent(events)) {
+        keepOnly(attempt);
+    } else if (&attempt != attempt_.get()) {
+        return; // Comments do not show that a silent endpoint makes progress.
+    }
     const std::size_t countBefore = stream_.eventCount();
-    std::string completeEvents = stream_.accept(attempt_->events.feed(bytes), now);
+    std::string completeEvents = stream_.accept(events, now);
     if (completeEvents.empty()) {
         return;
     }
     if (!std::exchange(retryState_.responseStarted, true)) {
-        responseSink_.startStream(attempt_->head);
+        responseSink_.startStream(attempt.head);
     }
     responseSink_.writeStream(std::move(completeEvents));
     if (stream_.eventCount() == countBefore) {
-        return; // Comments do not show that the endpoint makes progress.
+        return;
     }
-    if (!std::exchange(attempt_->hasEvent, true) && !caller_.sharedParts.empty()) {
+    if (!std::exchange(attempt.hasEvent, true) && !caller_.sharedParts.empty()) {
         context_.promptPartGuard.recordStart(caller_.sharedParts, now);
     }
-    context_.fleetLoad.finishPrefill(attempt_->loadTicket);
-    for (const FleetLoad::Ticket helper : attempt_->helperLoadTickets) {
-        context_.fleetLoad.finishPrefill(helper);
-    }
+    attempt.finishPrefill();
     startInactivityTimer(now);
 }
 
-void RequestExchange::onFinished()
+void RequestExchange::onFinished(EndpointAttempt &attempt)
 {
     const auto self = shared_from_this();
     const TimePoint now = monotonicNow();
-    context_.connectionPool.release(attempt_->endpoint, attempt_->connection, context_.maxIdleConnections(attempt_->endpoint), now);
-    attempt_->connection.reset();
-    if (attempt_->isRelayed) {
-        const bool endsWithConnection = !hasField(attempt_->head, "Content-Length") && !hasField(attempt_->head, "Transfer-Encoding");
-        if (endsWithConnection && endedAtStart()) {
+    context_.connectionPool.release(attempt.endpoint, attempt.connection, context_.maxIdleConnections(attempt.endpoint), now);
+    attempt.connection.reset();
+    if (attempt.isRelayed) {
+        const bool endsWithConnection = !hasField(attempt.head, "Content-Length") && !hasField(attempt.head, "Transfer-Encoding");
+        if (endsWithConnection && attempt.endedAtStart()) {
             // The same bytes arrive if there are no events left to send and if the endpoint crashes.
-            attempt_->hasEnded = true;
-            confirmCrash();
+            attempt.hasEnded = true;
+            confirmCrash(attempt);
             return;
         }
-        finishStream(now);
+        finishStream(attempt, now);
         return;
     }
-    if (attempt_->response.wasNotRun) {
-        onAttemptFailed(attempt_->response.isReplaced ? AttemptOutcome::Replaced : AttemptOutcome::NotRun, false);
+    if (attempt.response.wasNotRun) {
+        failAttempt(attempt, attempt.response.isReplaced ? AttemptOutcome::Replaced : AttemptOutcome::NotRun, false);
         return;
     }
-    if (!attempt_->response.hasServerStamp) {
-        onAttemptFailed(AttemptOutcome::Incomplete, true);
+    if (!attempt.response.hasServerStamp) {
+        failAttempt(attempt, AttemptOutcome::Incomplete, true);
         return;
     }
-    const bool isServerFailure = attempt_->head.status >= 500;
-    if (!isServerFailure && !retryState_.responseStarted) {
-        context_.health.recordOutcome(attempt_->endpoint.id, AttemptOutcome::Completed, now);
-        if (isSuccess(attempt_->head.status) && !caller_.sharedParts.empty()) {
-            context_.promptPartGuard.recordStart(caller_.sharedParts, now);
-        }
-        responseSink_.sendResponse(attempt_->head, std::move(attempt_->body));
-        finish("answered");
+    if (attempt.head.status >= FirstServerFailureStatus || retryState_.responseStarted) {
+        failAttempt(attempt, AttemptOutcome::Failed, true);
         return;
     }
-    retryState_.hasErrorResponse = isServerFailure;
-    onAttemptFailed(AttemptOutcome::Failed, true);
+    keepOnly(attempt);
+    context_.health.recordOutcome(attempt.endpoint.id, AttemptOutcome::Completed, now);
+    if (isSuccess(attempt.head.status) && !caller_.sharedParts.empty()) {
+        context_.promptPartGuard.recordStart(caller_.sharedParts, now);
+    }
+    responseSink_.sendResponse(attempt.head, std::move(attempt.body));
+    finish("answered");
 }
 
-void RequestExchange::finishStream(TimePoint now)
+void RequestExchange::finishStream(EndpointAttempt &attempt, TimePoint now)
 {
-    if (attempt_->events.hasPartialEvent()) {
-        onAttemptFailed(AttemptOutcome::Incomplete, true);
+    if (attempt.events.hasPartialEvent()) {
+        failAttempt(attempt, AttemptOutcome::Incomplete, true);
         return;
     }
+    keepOnly(attempt);
     if (!std::exchange(retryState_.responseStarted, true)) {
-        responseSink_.startStream(attempt_->head);
+        responseSink_.startStream(attempt.head);
     }
     responseSink_.endStream();
-    context_.health.recordOutcome(attempt_->endpoint.id, AttemptOutcome::Completed, now);
+    context_.health.recordOutcome(attempt.endpoint.id, AttemptOutcome::Completed, now);
     finish("answered");
 }
 
-void RequestExchange::onFailed(ExchangeFailure failure)
+void RequestExchange::onFailed(EndpointAttempt &attempt, ExchangeFailure failure)
 {
     const auto self = shared_from_this();
-    attempt_->hasPartialHead = failure == ExchangeFailure::BrokenInHead;
-    if (attempt_->hasPartialHead || (failure == ExchangeFailure::Broken && endedAtStart())) {
-        confirmCrash();
+    attempt.hasPartialHead = failure == ExchangeFailure::BrokenInHead;
+    const bool isBroken = failure == ExchangeFailure::Broken || failure == ExchangeFailure::BrokenInHead;
+    if (isBroken && attempt.endedAtStart()) {
+        confirmCrash(attempt);
         return;
     }
     const bool notConnected = failure == ExchangeFailure::NotConnected;
-    onAttemptFailed(notConnected ? AttemptOutcome::NotConnected : AttemptOutcome::Incomplete, !notConnected);
+    failAttempt(attempt, notConnected ? AttemptOutcome::NotConnected : AttemptOutcome::Incomplete, !notConnected);
 }
 
-bool RequestExchange::endedAtStart() const
+void RequestExchange::confirmCrash(EndpointAttempt &attempt)
 {
-    return attempt_ && isSuccess(attempt_->head.status) && attempt_->response.hasServerStamp && !attempt_->hasEvent;
-}
-
-void RequestExchange::confirmCrash()
-{
-    context_.timers.cancel(inactivityTimer_);
-    attempt_->connection.reset();
+    if (&attempt == attempt_.get()) {
+        context_.timers.cancel(inactivityTimer_);
+    }
+    attempt.connection.reset();
     // The deadline may come before the result.
     retryState_.mayHaveRun = true;
     context_.promptPartGuard.confirmCrash(
-        attempt_->endpoint, runId(), caller_.sharedParts, monotonicNow(), [weakSelf = weak_from_this(), run = runId()](bool hasCrashed) {
+        attempt.endpoint, runId(attempt), caller_.sharedParts, monotonicNow(), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
             const auto self = weakSelf.lock();
-            if (!self || self->finished_ || !self->attempt_ || self->runId() != run) {
+            EndpointAttempt *attempt = self ? self->findAttempt(number) : nullptr;
+            if (attempt == nullptr) {
                 return;
             }
-            if (!hasCrashed && self->attempt_->hasEnded) {
-                self->finishStream(monotonicNow());
+            if (!hasCrashed && attempt->hasEnded) {
+                self->finishStream(*attempt, monotonicNow());
                 return;
             }
             const CrashAttribution &attribution = self->context_.promptPartGuard.attribution();
             self->isTrial_ = self->isTrial_ && !hasCrashed;
             self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->caller_.sharedParts));
-            self->onAttemptFailed(AttemptOutcome::Incomplete, true);
+            self->failAttempt(*attempt, AttemptOutcome::Incomplete, true);
         });
 }
 
-std::string RequestExchange::runId() const
+std::string RequestExchange::runId(const EndpointAttempt &attempt) const
+{
+    return caller_.id.value() + '.' + std::to_string(attempt.number) + '@' + context_.settings.vm.value();
+}
+
+EndpointAttempt *RequestExchange::findAttempt(int number) const
+{
+    if (attempt_ && attempt_->number == number) {
+        return attempt_.get();
+    }
+    const auto found = std::find_if(silentAttempts_.begin(), silentAttempts_.end(), [number](const auto &attempt) { return attempt->number == number; });
+    return found == silentAttempts_.end() ? nullptr : found->get();
+}
+
+void RequestExchange::makeCurrent(EndpointAttempt &attempt)
+{
+    const auto found = std::find_if(silentAttempts_.begin(), silentAttempts_.end(), [&attempt](const auto &silent) { return silent.get() == &attempt; });
+    if (found != silentAttempts_.end()) {
+        attempt_ = std::move(*found);
+        silentAttempts_.erase(found);
+    }
+}
+
+void RequestExchange::keepOnly(EndpointAttempt &attempt)
 {
-    return caller_.id.value() + '.' + std::to_string(retryState_.attempts) + '@' + context_.settings.vm.value();
+    if (&attempt == attempt_.get() && silentAttempts_.empty()) {
+        return;
+    }
+    std::vector<std::unique_ptr<EndpointAttempt>> others;
+    if (&attempt != attempt_.get() && attempt_) {
+        others.push_back(std::move(attempt_));
+    }
+    makeCurrent(attempt);
+    std::move(silentAttempts_.begin(), silentAttempts_.end(), std::back_inserter(others));
+    silentAttempts_.clear();
+    for (const auto &other : others) {
+        countRun(*other);
+        context_.metrics.increment("lentillock_superseded_attempts_total", {{"by", other->number < attempt.number ? "later" : "earlier"}});
+        Log::write(Log::Level::Info,
+                   "attempt-superseded",
+                   {{"request", caller_.id.value()},
+                    {"endpoint", other->endpoint.id.value()},
+                    {"by", attempt.endpoint.id.value()},
+                    {"attempt", std::to_string(other->number)}});
+    }
+}
+
+void RequestExchange::countRun(EndpointAttempt &attempt)
+{
+    if (attempt.isSent && !std::exchange(attempt.isCountedAsRun, true)) {
+        ++retryState_.possibleRuns;
+        retryState_.mayHaveRun = true;
+    }
+}
+
+void RequestExchange::onRequestAccepted(TimePoint /*now*/)
+{
+    if (attempt_) {
+        keepOnly(*attempt_);
+    }
+}
+
+void RequestExchange::failAttempt(EndpointAttempt &attempt, AttemptOutcome outcome, bool mayHaveRun)
+{
+    const bool isCurrent = &attempt == attempt_.get();
+    if (!isCurrent && attempt_) {
+        const TimePoint now = monotonicNow();
+        context_.health.recordOutcome(attempt.endpoint.id, outcome, now);
+        logFailedAttempt(attempt, outcome, true, now);
+        std::erase_if(silentAttempts_, [&attempt](const auto &silent) { return silent.get() == &attempt; });
+        return;
+    }
+    makeCurrent(attempt);
+    onAttemptFailed(outcome, mayHaveRun);
 }
 
 void RequestExchange::onAttemptFailed(AttemptOutcome outcome, bool mayHaveRun)
 {
     const TimePoint now = monotonicNow();
+    context_.timers.cancel(inactivityTimer_);
+    context_.timers.cancel(acceptanceTimer_);
     retryState_.outcome = outcome;
     retryState_.allowsMultipleRuns = allowsMultipleRuns();
-    retryState_.mayHaveRun = retryState_.mayHaveRun || mayHaveRun;
-    retryState_.possibleRuns += mayHaveRun ? 1 : 0;
+    if (attempt_ && mayHaveRun) {
+        countRun(*attempt_);
+    }
     retryState_.maxRuns = route_->maxRuns;
     retryState_.hasTimeLeft = deadline_ - now > MinAttemptTime && attempt_ != nullptr;
     retryState_.hasRetryBudget = context_.retryBudget.remaining(service_->name, context_.vmCount(), now) >= 1;
+    retryState_.hasErrorResponse = outcome == AttemptOutcome::Failed && attempt_->head.status >= FirstServerFailureStatus;
+    retryState_.hasSilentAttempt = outcome == AttemptOutcome::TimedOut || !silentAttempts_.empty();
     const NextStep step = nextStep(retryState_);
+    HttpHead failureHead;
+    std::string failureBody;
     if (attempt_) {
         if (attempt_->isSent) {
             context_.health.recordOutcome(attempt_->endpoint.id, outcome, now);
         }
-        context_.metrics.increment("lentillock_send_failures_total", {{"outcome", std::string(outcomeName(outcome))}});
-        Log::write(Log::Level::Info,
-                   "attempt-failed",
-                   {{"request", caller_.id.value()},
-                    {"endpoint", attempt_->endpoint.id.value()},
-                    {"outcome", std::string(outcomeName(outcome))},
-                    {"status", std::to_string(attempt_->head.status)},
-                    {"partialHead", attempt_->hasPartialHead ? "yes" : "no"},
-                    {"endpointAtFault", attempt_->response.endpointAtFault},
-                    {"afterMs", integerText(inMilliseconds(now - attempt_->startedAt))},
-                    {"events", std::to_string(stream_.eventCount())},
-                    {"promptParts", promptPartsText(caller_.sharedParts)},
-                    {"mayHaveRun", retryState_.mayHaveRun ? "yes" : "no"},
-                    {"retry", step == NextStep::Retry ? "yes" : "no"}});
-    }
-    HttpHead failureHead = attempt_ ? std::move(attempt_->head) : HttpHead();
-    std::string failureBody = attempt_ ? std::move(attempt_->body) : std::string();
-    endAttempt();
+        logFailedAttempt(*attempt_, outcome, step == NextStep::Retry, now);
+        if (outcome == AttemptOutcome::TimedOut) {
+            silentAttempts_.push_back(std::move(attempt_));
+        } else {
+            failureHead = std::move(attempt_->head);
+            failureBody = std::move(attempt_->body);
+            attempt_.reset();
+        }
+    }
     switch (step) {
     case NextStep::Retry:
-        if (outcome != AttemptOutcome::NotConnected) {
-            context_.retryBudget.takeRetry(service_->name, context_.vmCount(), now);
-        }
-        retryState_.hasErrorResponse = false;
         startAttempt(now);
         break;
+    case NextStep::WaitForSilentAttempt:
+        break;
     case NextStep::RelayErrorResponse:
         responseSink_.sendResponse(failureHead, std::move(failureBody));
         finish("endpoint-failure");
@@ -624,6 +703,26 @@
     }
 }
 
+void RequestExchange::logFailedAttempt(const EndpointAttempt &attempt, AttemptOutcome outcome, bool isRetried, TimePoint now)
+{
+    context_.metrics.increment("lentillock_send_failures_total", {{"outcome", std::string(outcomeName(outcome))}});
+    Log::write(Log::Level::Info,
+               outcome == AttemptOutcome::TimedOut ? "attempt-silent" : "attempt-failed",
+               {{"request", caller_.id.value()},
+                {"endpoint", attempt.endpoint.id.value()},
+                {"attempt", std::to_string(attempt.number)},
+                {"outcome", std::string(outcomeName(outcome))},
+                {"status", std::to_string(attempt.head.status)},
+                {"partialHead", attempt.hasPartialHead ? "yes" : "no"},
+                {"endpointAtFault", attempt.response.endpointAtFault},
+                {"afterMs", integerText(inMilliseconds(now - attempt.startedAt))},
+                {"events", std::to_string(stream_.eventCount())},
+                {"promptParts", promptPartsText(caller_.sharedParts)},
+                {"mayHaveRun", retryState_.mayHaveRun ? "yes" : "no"},
+                {"silentAttempts", std::to_string(silentAttempts_.size())},
+                {"retry", isRetried ? "yes" : "no"}});
+}
+
 Duration RequestExchange::inactivityTimeout() const
 {
     if (!route_->isStream) {
@@ -656,10 +755,11 @@
 
 void RequestExchange::onInactivityTimeout(TimePoint now)
 {
-    if (finished_ || !attempt_ || retryState_.possibleRuns + 1 >= route_->maxRuns) {
+    if (finished_ || !attempt_) {
         return;
     }
-    if (context_.retryBudget.remaining(service_->name, context_.vmCount(), now) >= 1) {
+    const int possibleRuns = retryState_.possibleRuns + (attempt_->isCountedAsRun ? 0 : 1);
+    if (possibleRuns < route_->maxRuns && context_.retryBudget.remaining(service_->name, context_.vmCount(), now) >= 1) {
         onAttemptFailed(AttemptOutcome::TimedOut, true);
     }
 }
@@ -673,7 +773,7 @@
     if (attempt_ && attempt_->isSent) {
         context_.health.recordOutcome(attempt_->endpoint.id, AttemptOutcome::TimedOut, now);
     }
-    endAttempt();
+    endAttempts();
     if (retryState_.responseStarted) {
         finish("deadline");
         responseSink_.abort();
@@ -689,24 +789,16 @@
     if (finished_) {
         return;
     }
-    endAttempt();
+    endAttempts();
     finish("caller-gone");
 }
 
-void RequestExchange::endAttempt()
+void RequestExchange::endAttempts()
 {
     context_.timers.cancel(inactivityTimer_);
-    if (!attempt_) {
-        return;
-    }
-    if (attempt_->connection) {
-        attempt_->connection->close();
-    }
-    context_.fleetLoad.end(attempt_->loadTicket);
-    for (const FleetLoad::Ticket helper : attempt_->helperLoadTickets) {
-        context_.fleetLoad.end(helper);
-    }
+    context_.timers.cancel(acceptanceTimer_);
     attempt_.reset();
+    silentAttempts_.clear();
 }
 
 void RequestExchange::finish(std::string_view outcome)
@@ -717,7 +809,7 @@
     const TimePoint now = monotonicNow();
     context_.timers.cancel(deadlineTimer_);
     context_.promptPartGuard.unsubscribe(blockSubscription_);
-    endAttempt();
+    endAttempts();
     const std::string route = route_ != nullptr ? route_->name : "";
     context_.metrics.increment("lentillock_finished_total", {{"outcome", std::string(outcome)}});
     std::string firstEventMs;
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -1,18 +1,19 @@
 #pragma once
 
 #include "base/timerservice.h"
+#include "gateway/endpointattempt.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/nextstep.h"
 #include "gateway/placement.h"
 #include "gateway/relayedstream.h"
 #include "gateway/requestadmission.h"
-#include "gateway/reservationset.h"
 #include "gateway/responsesink.h"
 
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Lentillock
 {
@@ -40,26 +41,6 @@
     void onCallerDisconnected();
 
 private:
-    /// One attempt to have an endpoint serve the request.
-    struct Attempt {
-        EndpointRecord endpoint;
-        HttpClientConnectionPointer connection;
-        FleetLoad::Ticket loadTicket = 0;
-        std::vector<FleetLoad::Ticket> helperLoadTickets;
-        Placement placement;
-        std::unique_ptr<ReservationSet> reservations;
-        TimePoint startedAt;
-        bool isSent = false;
-        bool hasPartialHead = false; ///< The connection ended inside the head of the response.
-        bool hasEvent = false; ///< An event of this attempt has arrived.
-        bool hasEnded = false; ///< The response has ended with its connection, without an event.
-        bool isRelayed = false; ///< The response is a successful stream, whose events are relayed as they arrive.
-        HttpHead head;
-        ResponseHead response;
-        std::string body;
-        EventSplitter events;
-    };
-
     void admitWhenReady(TimePoint now);
     bool admit(TimePoint now);
 
@@ -78,18 +59,35 @@
     void sendRequest(TimePoint now);
     std::vector<PlacementCandidate> candidates(TimePoint now) const;
     Placement place(TimePoint now) const;
-    ResponseDisposition onHead(const HttpHead &head);
-    void onBody(std::string_view bytes);
-    void onFinished();
-    void finishStream(TimePoint now);
-    void onFailed(ExchangeFailure failure);
-
-    /// Whether the attempt ended at the start of its response, when a part of the prompt may have crashed the endpoint.
-    [[nodiscard]] bool endedAtStart() const;
+
+    /// Handles what arrives for the attempt @p number from its connection, whether or not the attempt is the current one.
+    HttpClientConnection::Handlers responseHandlers(int number);
+    ResponseDisposition onHead(EndpointAttempt &attempt, const HttpHead &head);
+    void onBody(EndpointAttempt &attempt, std::string_view bytes);
+    void onFinished(EndpointAttempt &attempt);
+    void onFailed(EndpointAttempt &attempt, ExchangeFailure failure);
+    void relayEvents(EndpointAttempt &attempt, std::string_view bytes);
+    void finishStream(EndpointAttempt &attempt, TimePoint now);
+
     /// Finds out whether the endpoint has crashed before the request is sent again.
-    void confirmCrash();
-    void relayEvents(std::string_view bytes);
+    void confirmCrash(EndpointAttempt &attempt);
+
+    /// Ends @p attempt. The request goes on with another one if there is one, or can be started; otherwise the caller gets an error.
+    void failAttempt(EndpointAttempt &attempt, AttemptOutcome outcome, bool mayHaveRun);
+
+    /// Decides how to go on after the current attempt has failed or is silent, or none could be started.
     void onAttemptFailed(AttemptOutcome outcome, bool mayHaveRun);
+    void logFailedAttempt(const EndpointAttempt &attempt, AttemptOutcome outcome, bool isRetried, TimePoint now);
+
+    /// The attempt with this number, or null if it has ended.
+    [[nodiscard]] EndpointAttempt *findAttempt(int number) const;
+    /// Makes @p attempt, which may be silent, the current one. There must be no other current one.
+    void makeCurrent(EndpointAttempt &attempt);
+    /// Ends all attempts but @p attempt, whose response is relayed.
+    void keepOnly(EndpointAttempt &attempt);
+    void countRun(EndpointAttempt &attempt);
+    /// Ends the silent attempts because the current endpoint has not rejected the request.
+    void onRequestAccepted(TimePoint now);
     void startInactivityTimer(TimePoint now);
     void retryHeldRequest(TimePoint now);
     void onInactivityTimeout(TimePoint now);
@@ -98,15 +96,14 @@
     /// Calls @p method at @p due, unless the exchange has been destroyed by then.
     TimerService::TimerId scheduleAt(TimePoint due, void (RequestExchange::*method)(TimePoint));
 
-    /// Closes the connection of the attempt and removes its load and reservations.
-    void endAttempt();
+    void endAttempts();
     void finish(std::string_view outcome);
     void sendErrorResponse(unsigned status, std::string_view code, std::string_view message, std::optional<milliseconds> retryAfter);
 
     /// Whether the request may run more than once, because its route is idempotent or its stream can be resumed.
     [[nodiscard]] bool allowsMultipleRuns() const;
     [[nodiscard]] Duration inactivityTimeout() const;
-    [[nodiscard]] std::string runId() const;
+    [[nodiscard]] std::string runId(const EndpointAttempt &attempt) const;
 
     GatewayContext &context_;
     ResponseSink &responseSink_;
@@ -119,7 +116,10 @@
     TimePoint deadline_{};
     TimerService::TimerId deadlineTimer_ = 0;
     TimerService::TimerId inactivityTimer_ = 0;
-    std::unique_ptr<Attempt> attempt_;
+    TimerService::TimerId acceptanceTimer_ = 0;
+    std::unique_ptr<EndpointAttempt> attempt_; ///< The current one; null while the request waits for an endpoint or for silent attempts only.
+    /// Attempts whose endpoints have been silent for so long that another one is asked. They stay open until another one has taken the request over.
+    std::vector<std::unique_ptr<EndpointAttempt>> silentAttempts_;
     std::set<EndpointId> triedEndpoints_;
     RetryState retryState_;
     bool finished_ = false;
--- a/tests/gateway/nextsteptest.cpp
+++ b/tests/gateway/nextsteptest.cpp
@@ -75,4 +75,21 @@
     EXPECT_EQ(nextStep(state), NextStep::ReportNotRun);
 }
 
+// Guards against giving up a request because its endpoint is silent and no other one takes it over: silence does not show that the endpoint has failed.
+RC_GTEST_PROP(NextStepTest, EndpointIsOnlySilent_RequestIsNotGivenUp, ())
+{
+    RetryState state = anyRetryState();
+    state.hasSilentAttempt = true;
+    const NextStep step = nextStep(state);
+    RC_ASSERT(step == NextStep::Retry || step == NextStep::WaitForSilentAttempt);
+}
+
+RC_GTEST_PROP(NextStepTest, SilentAttemptIsOpen_AnotherEndpointIsAsked_UnderTheSameConditions, ())
+{
+    RetryState state = anyRetryState();
+    const bool isRetried = nextStep(state) == NextStep::Retry;
+    state.hasSilentAttempt = true;
+    RC_ASSERT((nextStep(state) == NextStep::Retry) == isRetried);
+}
+
 }
--- a/tests/gateway/relayedstreamtest.cpp
+++ b/tests/gateway/relayedstreamtest.cpp
@@ -66,4 +66,16 @@
     EXPECT_EQ(stream.longestPause(), 3s);
 }
 
+// Decides whether an endpoint that has been silent responds again: neither comments nor events that another endpoint has sent meanwhile count.
+TEST(RelayedStreamTest, EventsArrive_OnlyEventsThatTheCallerLacks_AreNew)
+{
+    RelayedStream stream({});
+    stream.accept({event(1), event(2)}, Start);
+    EXPECT_FALSE(stream.hasNewEvent({}));
+    EXPECT_FALSE(stream.hasNewEvent({event(1), event(2)}));
+    EXPECT_FALSE(stream.hasNewEvent({{.bytes = ": ping\n\n", .id = std::nullopt, .isComment = true}}));
+    EXPECT_TRUE(stream.hasNewEvent({event(2), event(3)}));
+    EXPECT_TRUE(stream.hasNewEvent({{.bytes = "a", .id = {}}}));
+}
+
 }
