TopicFollower: Judge outages of the store by the reads of all VMs

Cause: a VM that does not read itself noted the outage at its first failed call and took it for ended at its own next response, minutes later, when it became the reader. Then it deferred the removals of that very read. Evidence: store-available of the endpoint list on each VM 7 to 9 s after the return of the store, at the loss of the reader, and the removal 2.2 s later. Ruled out: late reads, and a list taken from another VM.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Lentillock
@@ -52,9 +53,9 @@
     }
 }
 
-void EndpointDirectory::deferRemovals(TimePoint now)
+void EndpointDirectory::deferRemovals(TimePoint availableSince)
 {
-    removalsDeferredUntil_ = now + RemovalGracePeriod;
+    removalsDeferredUntil_ = std::max(removalsDeferredUntil_, availableSince + RemovalGracePeriod);
 }
 
 void EndpointDirectory::applyDueRemovals(TimePoint now)
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -46,9 +46,9 @@
     /// Replaces the whole list; endpoints that are not in @p records are removed.
     void replace(const std::vector<EndpointRecord> &records, TimePoint now);
 
-    /// Defers removals for a grace period after the platform becomes readable again, because the records of live endpoints may have expired
-    /// during the outage.
-    void deferRemovals(TimePoint now);
+    /// Defers removals for a grace period after @p availableSince, when the platform became readable again, because the records of live endpoints may
+    /// have expired during the outage.
+    void deferRemovals(TimePoint availableSince);
 
     /// Applies the deferred removals whose grace period has passed.
     void applyDueRemovals(TimePoint now);
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -112,6 +112,9 @@
     }
     const LoadExchange::Received received = exchange_.receive(bytes, senderIp, now);
     if (received.view) {
+        if (onPeerView) {
+            onPeerView(*received.view, now);
+        }
         compareViews(*received.view, now);
     }
     send(received.datagrams);
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -39,6 +39,9 @@
     /// Called when another VM has sent changes of the endpoint list.
     std::function<void(const EndpointUpdate &)> onEndpointUpdate;
 
+    /// Called with each view that another VM has sent.
+    std::function<void(const ViewReport &, TimePoint now)> onPeerView;
+
     /// Adds the VMs that are listed in the store as receivers of reports.
     void addPeers(const std::vector<PeerVm> &peers, TimePoint now);
 
