--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <tuple>
 
 namespace Lentillock
 {
@@ -13,27 +14,70 @@
 /// After this time without an outcome, for example because the caller has left, another request may be tried.
 constexpr Duration TrialTimeout = 30s;
 
-/// Crashes of which all parts have proved sound are sent for this time, so that all VMs learn it.
+/// Crashes of which all parts have proved sound are sent for this time, so that all VMs learn it, and know the prompt.
 constexpr Duration SoundCrashSendTime = 5s;
 
-/// Number of @p crashes that are at least MinCrashInterval apart, or 0 if they are on too few endpoints.
-std::size_t independentCrashes(const std::vector<const StartCrash *> &crashes)
+using Crashes = std::vector<const StartCrash *>;
+
+std::size_t endpointCount(const Crashes &crashes)
 {
     std::set<std::uint64_t> endpoints;
-    std::size_t count = 0;
-    std::optional<TimePoint> last;
     for (const StartCrash *crash : crashes) {
         endpoints.insert(crash->endpoint);
-        if (!last || crash->at - *last >= MinCrashInterval) {
-            last = crash->at;
-            ++count;
+    }
+    return endpoints.size();
+}
+
+/// Divides @p crashes, which are in the order of their times, into incidents that are at least MinCrashInterval apart.
+std::vector<Crashes> incidentsOf(const Crashes &crashes)
+{
+    std::vector<Crashes> incidents;
+    for (const StartCrash *crash : crashes) {
+        if (incidents.empty() || crash->at - incidents.back().front()->at >= MinCrashInterval) {
+            incidents.emplace_back();
+        }
+        incidents.back().push_back(crash);
+    }
+    return incidents;
+}
+
+/// Number of prompts that are needed to explain all @p incidents, chosen one after the other by how many they explain.
+std::size_t neededPrompts(std::vector<Crashes> incidents)
+{
+    std::size_t count = 0;
+    while (!incidents.empty()) {
+        std::map<std::uint64_t, std::size_t> explained;
+        for (const Crashes &incident : incidents) {
+            std::set<std::uint64_t> prompts;
+            for (const StartCrash *crash : incident) {
+                // A run whose prompt is not known has one of its own.
+                prompts.insert(crash->promptHash != 0 ? crash->promptHash : crash->run);
+            }
+            for (const std::uint64_t prompt : prompts) {
+                ++explained[prompt];
+            }
         }
+        const std::uint64_t best
+            = std::max_element(explained.begin(), explained.end(), [](const auto &left, const auto &right) { return left.second < right.second; })->first;
+        std::erase_if(incidents, [best](const Crashes &incident) {
+            return std::any_of(incident.begin(), incident.end(), [best](const StartCrash *crash) {
+                return (crash->promptHash != 0 ? crash->promptHash : crash->run) == best;
+            });
+        });
+        ++count;
     }
-    return endpoints.size() >= MinCrashedEndpoints ? count : 0;
+    return count;
+}
+
+/// Whether @p crashes, which are in the order of their times and have a part in common, show that this part crashes endpoints.
+bool areSufficient(const Crashes &crashes)
+{
+    const std::vector<Crashes> incidents = incidentsOf(crashes);
+    return incidents.size() >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints && neededPrompts(incidents) >= MinCrashedPrompts;
 }
 
 /// The parts that all @p crashes have in common and that none of them has shown to be sound, in ascending order.
-PromptParts commonParts(const std::vector<const StartCrash *> &crashes)
+PromptParts commonParts(const Crashes &crashes)
 {
     PromptParts common;
     for (const PromptPartId &part : crashes.front()->parts) {
@@ -54,15 +98,38 @@
     return found != parts.end() && (soundParts >> (found - parts.begin()) & 1) == 0;
 }
 
+bool StartCrash::implicatesPrompt() const
+{
+    return promptHash != 0 && !isPromptSound;
+}
+
+PromptIdentity StartCrash::prompt() const
+{
+    return {parts, promptHash};
+}
+
 bool PromptPartBlock::isInForce() const
 {
     return revision % 2 == 1;
 }
 
-bool PromptPartBlock::matches(const PromptParts &prompt) const
+bool PromptPartBlock::isForWholePrompt() const
+{
+    return promptHash != 0;
+}
+
+bool PromptPartBlock::matches(const PromptIdentity &prompt) const
+{
+    if (isForWholePrompt()) {
+        return prompt.hash == promptHash;
+    }
+    const PromptParts &known = prompt.parts;
+    return std::all_of(parts.begin(), parts.end(), [&known](const PromptPartId &part) { return std::find(known.begin(), known.end(), part) != known.end(); });
+}
+
+bool PromptPartBlock::hasSameSubject(const PromptPartBlock &other) const
 {
-    return std::all_of(
-        parts.begin(), parts.end(), [&prompt](const PromptPartId &part) { return std::find(prompt.begin(), prompt.end(), part) != prompt.end(); });
+    return promptHash == other.promptHash && (isForWholePrompt() || parts == other.parts);
 }
 
 bool CrashAttributionUpdate::isEmpty() const
@@ -72,39 +139,37 @@
 
 CrashAttribution::CrashAttribution(Duration initialBlockTime)
     : initialBlockTime_(initialBlockTime)
+    , soundParts_(MaxSoundParts)
+    , soundPrompts_(MaxSoundPrompts)
 {
 }
 
 void CrashAttribution::recordCrash(const StartCrash &crash, TimePoint now)
 {
-    if (crash.parts.empty()) {
+    if (crash.prompt().isEmpty()) {
         return;
     }
     addCrash(crash);
     hasUnsentEvidence_ = true;
     for (PromptPartBlock &block : blocks_) {
-        if (block.isInForce() && block.matches(crash.parts) && now >= block.until) {
+        if (block.isInForce() && block.matches(crash.prompt()) && now >= block.until) {
             prolong(block, now);
         }
     }
     evaluate(now);
 }
 
-void CrashAttribution::recordStart(const PromptParts &parts, TimePoint now)
+void CrashAttribution::recordStart(const PromptIdentity &prompt, TimePoint now)
 {
-    for (const PromptPartId &part : parts) {
-        auto &byPart = soundParts_.get<1>();
-        if (const auto known = byPart.find(part); known != byPart.end()) {
-            byPart.erase(known);
-        }
-        soundParts_.push_back({part, now});
-        if (soundParts_.size() > MaxSoundParts) {
-            soundParts_.pop_front();
-        }
+    for (const PromptPartId &part : prompt.parts) {
+        soundParts_.record(part.value, now);
+    }
+    if (prompt.hash != 0) {
+        soundPrompts_.record(prompt.hash, now);
     }
-    const bool hasChanged = markSound(parts, now);
+    const bool hasChanged = markSound(prompt, now);
     for (PromptPartBlock &block : blocks_) {
-        if (block.isInForce() && block.matches(parts)) {
+        if (block.isInForce() && block.matches(prompt)) {
             release(block);
         }
     }
@@ -113,11 +178,11 @@
     }
 }
 
-PromptPartDecision CrashAttribution::decide(const PromptParts &parts, bool mayTry, TimePoint now)
+PromptPartDecision CrashAttribution::decide(const PromptIdentity &prompt, bool mayTry, TimePoint now)
 {
     std::vector<const PromptPartBlock *> matching;
     for (const PromptPartBlock &block : blocks_) {
-        if (block.isInForce() && block.matches(parts)) {
+        if (block.isInForce() && block.matches(prompt)) {
             matching.push_back(&block);
         }
     }
@@ -130,45 +195,49 @@
         return {.kind = PromptPartDecision::Kind::Reject, .retryAfter = last->until - now};
     }
     // The outcome of a request that matches several blocks would not show which of them is still needed.
-    const auto trial = trials_.find(last->parts);
+    const PromptIdentity subject{last->parts, last->promptHash};
+    const auto trial = trials_.find(subject);
     const bool isTrying = trial != trials_.end() && now - trial->second < TrialTimeout;
     if (!mayTry || matching.size() > 1 || isTrying) {
         return {.kind = PromptPartDecision::Kind::Reject, .retryAfter = TrialTimeout};
     }
-    trials_[last->parts] = now;
+    trials_[subject] = now;
     return {.kind = PromptPartDecision::Kind::Try};
 }
 
-bool CrashAttribution::isBlocked(const PromptParts &parts) const
+bool CrashAttribution::isBlocked(const PromptIdentity &prompt) const
 {
-    return std::any_of(blocks_.begin(), blocks_.end(), [&parts](const PromptPartBlock &block) { return block.isInForce() && block.matches(parts); });
+    return std::any_of(blocks_.begin(), blocks_.end(), [&prompt](const PromptPartBlock &block) { return block.isInForce() && block.matches(prompt); });
 }
 
-bool CrashAttribution::isSuspected(const PromptParts &parts) const
+bool CrashAttribution::isSuspected(const PromptIdentity &prompt) const
 {
-    return std::any_of(
-        parts.begin(), parts.end(), [this](const PromptPartId &part) { return independentCrashes(evidenceAgainst(part)) + 1 >= BlockingCrashes; });
+    return std::any_of(prompt.parts.begin(), prompt.parts.end(), [this](const PromptPartId &part) {
+        const Crashes crashes = evidenceAgainst(part);
+        return incidentsOf(crashes).size() + 1 >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
+    });
 }
 
 void CrashAttribution::merge(const CrashAttributionUpdate &update, TimePoint now)
 {
     for (const StartCrash &received : update.crashes) {
-        if (received.parts.empty() || received.parts.size() > MaxPromptParts || now - received.at > CrashRetention) {
+        if (received.prompt().isEmpty() || received.parts.size() > MaxPromptParts || now - received.at > CrashRetention) {
             continue;
         }
         Evidence &evidence = addCrash(received);
         evidence.sharedSoundParts |= received.soundParts;
+        evidence.isSharedPromptSound = evidence.isSharedPromptSound || received.isPromptSound;
         StartCrash &crash = evidence.crash;
         for (std::size_t index = 0; index < crash.parts.size(); ++index) {
-            const auto &byPart = soundParts_.get<1>();
-            const auto sound = byPart.find(crash.parts[index]);
-            if (sound != byPart.end() && sound->at > crash.at) {
+            if (soundParts_.hasStartedAfter(crash.parts[index].value, crash.at)) {
                 crash.soundParts |= static_cast<std::uint16_t>(1U << index);
             }
         }
+        crash.isPromptSound = crash.isPromptSound || soundPrompts_.hasStartedAfter(crash.promptHash, crash.at);
     }
     for (const PromptPartBlock &received : update.blocks) {
-        if (!received.parts.empty() && received.parts.size() <= MaxPromptParts && mergeBlock(received, now)) {
+        const bool hasSubject = received.isForWholePrompt() || !received.parts.empty();
+        if (hasSubject && received.parts.size() <= MaxPromptParts && mergeBlock(received, now)) {
             reportChange(received);
         }
     }
@@ -196,7 +265,10 @@
 
 bool CrashAttribution::hasUnsentStarts() const
 {
-    return std::any_of(crashes_.begin(), crashes_.end(), [](const auto &entry) { return entry.second.crash.soundParts != entry.second.sharedSoundParts; });
+    return std::any_of(crashes_.begin(), crashes_.end(), [](const auto &entry) {
+        const Evidence &evidence = entry.second;
+        return evidence.crash.soundParts != evidence.sharedSoundParts || evidence.crash.isPromptSound != evidence.isSharedPromptSound;
+    });
 }
 
 void CrashAttribution::markSent()
@@ -204,6 +276,7 @@
     hasUnsentEvidence_ = false;
     for (auto &[run, evidence] : crashes_) {
         evidence.sharedSoundParts = evidence.crash.soundParts;
+        evidence.isSharedPromptSound = evidence.crash.isPromptSound;
     }
 }
 
@@ -230,18 +303,23 @@
     return crashes_.size();
 }
 
-bool CrashAttribution::markSound(const PromptParts &parts, TimePoint at)
+bool CrashAttribution::markSound(const PromptIdentity &prompt, TimePoint at)
 {
     bool hasChanged = false;
     for (auto &[run, evidence] : crashes_) {
         StartCrash &crash = evidence.crash;
+        if (crash.at >= at) {
+            continue;
+        }
         const std::uint16_t before = crash.soundParts;
+        const bool wasPromptSound = crash.isPromptSound;
         for (std::size_t index = 0; index < crash.parts.size(); ++index) {
-            if (crash.at < at && std::find(parts.begin(), parts.end(), crash.parts[index]) != parts.end()) {
+            if (std::find(prompt.parts.begin(), prompt.parts.end(), crash.parts[index]) != prompt.parts.end()) {
                 crash.soundParts |= static_cast<std::uint16_t>(1U << index);
             }
         }
-        hasChanged = hasChanged || crash.soundParts != before;
+        crash.isPromptSound = crash.isPromptSound || (prompt.hash != 0 && prompt.hash == crash.promptHash);
+        hasChanged = hasChanged || crash.soundParts != before || crash.isPromptSound != wasPromptSound;
     }
     return hasChanged;
 }
@@ -249,8 +327,9 @@
 CrashAttribution::Evidence &CrashAttribution::addCrash(const StartCrash &crash)
 {
     const auto [found, isNew] = crashes_.try_emplace(crash.run, Evidence{.crash = crash});
-    if (!isNew && found->second.crash.parts == crash.parts) {
+    if (!isNew && found->second.crash.prompt() == crash.prompt()) {
         found->second.crash.soundParts |= crash.soundParts;
+        found->second.crash.isPromptSound = found->second.crash.isPromptSound || crash.isPromptSound;
     }
     if (crashes_.size() > MaxStartCrashes) {
         const auto oldest = std::min_element(crashes_.begin(), crashes_.end(), [run = crash.run](const auto &left, const auto &right) {
@@ -263,13 +342,14 @@
 
 void CrashAttribution::addBlock(PromptPartBlock block)
 {
-    if (PromptPartBlock *known = findBlock(block.parts)) {
+    if (PromptPartBlock *known = findBlock(block)) {
         block.revision = known->revision + 1;
         *known = block;
     } else {
         if (blocks_.size() >= MaxPromptPartBlocks) {
             blocks_.erase(std::min_element(blocks_.begin(), blocks_.end(), [](const auto &left, const auto &right) {
-                return std::pair(left.isInForce(), left.until) < std::pair(right.isInForce(), right.until);
+                return std::tuple(left.isInForce(), !left.isForWholePrompt(), left.until)
+                    < std::tuple(right.isInForce(), !right.isForWholePrompt(), right.until);
             }));
         }
         blocks_.push_back(block);
@@ -286,14 +366,14 @@
     ++block.failedTrials;
     block.revision += 2;
     block.until = now + std::min(time, MaxBlockTime);
-    trials_.erase(block.parts);
+    trials_.erase({block.parts, block.promptHash});
     reportChange(block);
 }
 
 void CrashAttribution::release(PromptPartBlock &block)
 {
     ++block.revision;
-    trials_.erase(block.parts);
+    trials_.erase({block.parts, block.promptHash});
     hasUnsentEvidence_ = true;
     reportChange(block);
 }
@@ -302,7 +382,7 @@
 {
     PromptPartBlockChange change{.block = block};
     for (const auto &[run, evidence] : crashes_) {
-        if (block.matches(evidence.crash.parts)) {
+        if (block.matches(evidence.crash.prompt())) {
             change.crashes.push_back(evidence.crash);
         }
     }
@@ -312,7 +392,7 @@
 
 bool CrashAttribution::mergeBlock(const PromptPartBlock &received, TimePoint now)
 {
-    PromptPartBlock *known = findBlock(received.parts);
+    PromptPartBlock *known = findBlock(received);
     if (known == nullptr) {
         if (blocks_.size() >= MaxPromptPartBlocks) {
             return false;
@@ -326,12 +406,36 @@
     const bool wasInForce = known->isInForce();
     *known = received;
     if (!received.isInForce()) {
-        markSound(received.parts, now); // The datagram that says so may have been lost.
+        markSound({received.parts, received.promptHash}, now); // The datagram that says so may have been lost.
     }
     return received.isInForce() || wasInForce;
 }
 
 void CrashAttribution::evaluate(TimePoint now)
+{
+    evaluatePrompts(now);
+    evaluateParts(now);
+}
+
+void CrashAttribution::evaluatePrompts(TimePoint now)
+{
+    std::map<std::uint64_t, Crashes> byPrompt;
+    for (const auto &[run, evidence] : crashes_) {
+        if (evidence.crash.implicatesPrompt()) {
+            byPrompt[evidence.crash.promptHash].push_back(&evidence.crash);
+        }
+    }
+    for (const auto &[promptHash, crashes] : byPrompt) {
+        const bool isEvident = crashes.size() >= PromptBlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
+        if (isEvident && !isBlocked(crashes.front()->prompt())) {
+            PromptParts parts = crashes.front()->parts;
+            std::sort(parts.begin(), parts.end());
+            addBlock({.parts = std::move(parts), .promptHash = promptHash, .revision = 1, .since = now, .until = now + initialBlockTime_});
+        }
+    }
+}
+
+void CrashAttribution::evaluateParts(TimePoint now)
 {
     std::map<PromptPartId, std::size_t> crashCounts;
     for (const auto &[run, evidence] : crashes_) {
@@ -343,8 +447,8 @@
         if (count < BlockingCrashes) {
             continue;
         }
-        const std::vector<const StartCrash *> evidence = evidenceAgainst(part);
-        if (independentCrashes(evidence) < BlockingCrashes) {
+        const Crashes evidence = evidenceAgainst(part);
+        if (!areSufficient(evidence)) {
             continue;
         }
         const PromptParts parts = commonParts(evidence);
@@ -354,16 +458,18 @@
     }
 }
 
-std::vector<const StartCrash *> CrashAttribution::evidenceAgainst(const PromptPartId &part) const
+CrashAttribution::Crashes CrashAttribution::evidenceAgainst(const PromptPartId &part) const
 {
-    std::vector<const StartCrash *> result;
+    Crashes result;
     for (const auto &[run, evidence] : crashes_) {
         const StartCrash &crash = evidence.crash;
         if (!crash.implicates(part)) {
             continue;
         }
         const bool isExplained = std::any_of(blocks_.begin(), blocks_.end(), [&crash, &part](const PromptPartBlock &block) {
-            return block.isInForce() && block.matches(crash.parts) && std::find(block.parts.begin(), block.parts.end(), part) == block.parts.end();
+            // Several blocked prompts may have a part in common that explains them all.
+            return block.isInForce() && !block.isForWholePrompt() && block.matches(crash.prompt())
+                && std::find(block.parts.begin(), block.parts.end(), part) == block.parts.end();
         });
         if (!isExplained) {
             result.push_back(&crash);
@@ -373,9 +479,9 @@
     return result;
 }
 
-PromptPartBlock *CrashAttribution::findBlock(const PromptParts &parts)
+PromptPartBlock *CrashAttribution::findBlock(const PromptPartBlock &subject)
 {
-    const auto found = std::find_if(blocks_.begin(), blocks_.end(), [&parts](const PromptPartBlock &block) { return block.parts == parts; });
+    const auto found = std::find_if(blocks_.begin(), blocks_.end(), [&subject](const PromptPartBlock &block) { return block.hasSameSubject(subject); });
     return found == blocks_.end() ? nullptr : &*found;
 }
 
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -2,11 +2,7 @@
 
 #include "base/time.h"
 #include "gateway/promptpart.h"
-
-#include <boost/multi_index/hashed_index.hpp>
-#include <boost/multi_index/member.hpp>
-#include <boost/multi_index/sequenced_index.hpp>
-#include <boost/multi_index_container.hpp>
+#include "gateway/recentstarts.h"
 
 #include <compare>
 #include <cstdint>
@@ -24,15 +20,20 @@
     TimePoint at{};
     PromptParts parts{}; ///< Shared parts of the prompt.
     std::uint16_t soundParts = 0; ///< Bit n is set if another run with part n has produced an event since.
+    std::uint64_t promptHash = 0; ///< See PromptIdentity.
+    bool isPromptSound = false; ///< Another run with the same prompt has produced an event since.
 
     auto operator<=>(const StartCrash &) const = default;
 
     [[nodiscard]] bool implicates(const PromptPartId &part) const;
+    [[nodiscard]] bool implicatesPrompt() const;
+    [[nodiscard]] PromptIdentity prompt() const;
 };
 
-/// Requests whose prompts contain all @c parts are rejected, because they crash endpoints.
+/// Requests are rejected because they crash endpoints: those with one prompt, or all those whose prompts contain certain parts.
 struct PromptPartBlock {
     PromptParts parts{}; ///< In ascending order.
+    std::uint64_t promptHash = 0; ///< 0: any prompt with the parts.
     std::uint32_t revision = 0; ///< Increases with each change; odd while the block is in force, even after its release.
     TimePoint since{};
     TimePoint until{}; ///< From then on, one request at a time may be tried.
@@ -41,7 +42,10 @@
     auto operator<=>(const PromptPartBlock &) const = default;
 
     [[nodiscard]] bool isInForce() const;
-    [[nodiscard]] bool matches(const PromptParts &prompt) const;
+    [[nodiscard]] bool isForWholePrompt() const;
+    [[nodiscard]] bool matches(const PromptIdentity &prompt) const;
+    /// Whether both blocks concern the same requests.
+    [[nodiscard]] bool hasSameSubject(const PromptPartBlock &other) const;
 };
 
 /// Evidence and blocks that VMs send to each other.
@@ -81,25 +85,35 @@
 inline constexpr Duration MinCrashInterval = 200ms;
 inline constexpr std::size_t MinCrashedEndpoints = 2;
 
+/// Number of crashes after which one prompt is blocked. Fewer than for parts, since a false block concerns only repetitions of that request.
+inline constexpr std::size_t PromptBlockingCrashes = 2;
+
+/// Parts are blocked only if the crashes cannot be explained by fewer prompts than this.
+inline constexpr std::size_t MinCrashedPrompts = 2;
+
 /// Time for which a crash counts.
 inline constexpr Duration CrashRetention = 10min;
 
 /// Longest time for which parts are blocked before a request with them is tried. The time doubles with each trial that crashes an endpoint.
 inline constexpr Duration MaxBlockTime = 1h;
 
-/// Limits on what is kept. Beyond them, the oldest crash, the block that is reconsidered first, and the part that has been seen least recently are
-/// forgotten first.
+/// Limits on what is kept. Beyond them, the oldest crash, the block that is reconsidered first, and the part or prompt that has been seen least recently
+/// are forgotten first.
 inline constexpr std::size_t MaxStartCrashes = 256;
 inline constexpr std::size_t MaxPromptPartBlocks = 32;
 inline constexpr std::size_t MaxSoundParts = 4096;
+inline constexpr std::size_t MaxSoundPrompts = 4096;
 
-/// Finds the parts of prompts that crash endpoints, and blocks them. Does no I/O.
+/// Finds the prompts, and the parts of prompts, that crash endpoints, and blocks them. Does no I/O.
 ///
 /// A part that crashes endpoints crashes each one that begins to write a response to it. Evidence against a part are therefore the runs with it that
 /// ended with a crash at that moment, unless any run with the part has produced an event since; requests that were only waiting on the endpoint, or
 /// whose response had begun, are no evidence. The parts that all these runs have in common are blocked together, so that a part is not blocked
 /// because it always accompanies another one.
 ///
+/// The narrowest explanation is preferred: a prompt that has crashed endpoints more than once is blocked as a whole, and its shared parts only if other
+/// prompts with them crash endpoints, too.
+///
 /// All evidence merges by set union, so the VMs of a fleet come to the same verdict regardless of the order in which they learn of it.
 ///
 /// If each crash hits a run at the start of its response with a probability of at most q that does not depend on its parts, three given consecutive
@@ -113,17 +127,17 @@
     /// Records a confirmed crash that ended a run of this VM.
     void recordCrash(const StartCrash &crash, TimePoint now);
 
-    /// Records that a run with @p parts has produced its first event.
-    void recordStart(const PromptParts &parts, TimePoint now);
+    /// Records that a run of @p prompt has produced its first event.
+    void recordStart(const PromptIdentity &prompt, TimePoint now);
 
-    /// Decides on a request with @p parts. Only one VM of the fleet should set @p mayTry.
-    PromptPartDecision decide(const PromptParts &parts, bool mayTry, TimePoint now);
+    /// Decides on a request with @p prompt. Only one VM of the fleet should set @p mayTry.
+    PromptPartDecision decide(const PromptIdentity &prompt, bool mayTry, TimePoint now);
 
-    /// Whether requests with @p parts are blocked.
-    [[nodiscard]] bool isBlocked(const PromptParts &parts) const;
+    /// Whether requests with @p prompt are blocked.
+    [[nodiscard]] bool isBlocked(const PromptIdentity &prompt) const;
 
-    /// Whether one more crash of a request with @p parts would block them, so that a failed one should not be sent again.
-    [[nodiscard]] bool isSuspected(const PromptParts &parts) const;
+    /// Whether one more crash of a request with @p prompt would block parts of it, so that a failed one should not be sent again.
+    [[nodiscard]] bool isSuspected(const PromptIdentity &prompt) const;
 
     /// Applies what another VM knows.
     void merge(const CrashAttributionUpdate &update, TimePoint now);
@@ -150,21 +164,14 @@
     struct Evidence {
         StartCrash crash;
         std::uint16_t sharedSoundParts = 0; ///< Those of the sound parts that other VMs have been told of, or have told.
+        bool isSharedPromptSound = false; ///< The same of the prompt.
     };
-    struct SoundPart {
-        PromptPartId part;
-        TimePoint at;
-    };
-    using SoundParts = boost::multi_index_container<
-        SoundPart,
-        boost::multi_index::indexed_by<
-            boost::multi_index::sequenced<>,
-            boost::multi_index::hashed_unique<boost::multi_index::member<SoundPart, PromptPartId, &SoundPart::part>, PromptPartId::Hash>>>;
+    using Crashes = std::vector<const StartCrash *>;
 
     /// Adds @p crash, or the sound parts of it if it is known.
     Evidence &addCrash(const StartCrash &crash);
-    /// Notes that runs with @p parts have started normally after the crashes before @p at. Returns whether that was unknown.
-    bool markSound(const PromptParts &parts, TimePoint at);
+    /// Notes that runs with @p prompt have started normally after the crashes before @p at. Returns whether that was unknown.
+    bool markSound(const PromptIdentity &prompt, TimePoint at);
     void addBlock(PromptPartBlock block);
     void prolong(PromptPartBlock &block, TimePoint now);
     void release(PromptPartBlock &block);
@@ -172,18 +179,21 @@
     /// Returns whether requests are treated differently from now on.
     [[nodiscard]] bool mergeBlock(const PromptPartBlock &received, TimePoint now);
 
-    /// Blocks all parts against which there is enough evidence.
+    /// Blocks all prompts and parts against which there is enough evidence.
     void evaluate(TimePoint now);
+    void evaluatePrompts(TimePoint now);
+    void evaluateParts(TimePoint now);
 
-    /// Crashes that are evidence against @p part, oldest first, without those that a block without the part explains.
-    [[nodiscard]] std::vector<const StartCrash *> evidenceAgainst(const PromptPartId &part) const;
-    [[nodiscard]] PromptPartBlock *findBlock(const PromptParts &parts);
+    /// Crashes that are evidence against @p part, oldest first, without those that a block of other parts explains.
+    [[nodiscard]] Crashes evidenceAgainst(const PromptPartId &part) const;
+    [[nodiscard]] PromptPartBlock *findBlock(const PromptPartBlock &subject);
 
     Duration initialBlockTime_;
     std::map<std::uint64_t, Evidence> crashes_; ///< By run.
     std::vector<PromptPartBlock> blocks_;
-    std::map<PromptParts, TimePoint> trials_; ///< When a request was last tried, by the parts of the block.
-    SoundParts soundParts_; ///< Most recent last.
+    std::map<PromptIdentity, TimePoint> trials_; ///< When a request was last tried, by the subject of the block.
+    detail::RecentStarts soundParts_;
+    detail::RecentStarts soundPrompts_;
     std::vector<PromptPartBlockChange> changes_;
     bool hasUnsentEvidence_ = false;
 };
--- a/src/gateway/crashattributioncodec.cpp
+++ b/src/gateway/crashattributioncodec.cpp
@@ -18,7 +18,7 @@
 using detail::appendBytes;
 using detail::takeBytes;
 
-constexpr std::array<char, 4> Magic{'L', 'T', 'C', '1'};
+constexpr std::array<char, 4> Magic{'L', 'T', 'C', '2'};
 
 /// Limits a message to one datagram that is not fragmented.
 constexpr std::size_t MaxEntryBytes = 1200;
@@ -43,6 +43,8 @@
     boost::endian::little_uint64_buf_t endpoint;
     boost::endian::little_uint32_buf_t ageMs;
     boost::endian::little_uint16_buf_t soundParts;
+    boost::endian::little_uint64_buf_t promptHash;
+    boost::endian::little_uint8_buf_t isPromptSound;
 };
 
 struct WireBlock {
@@ -50,6 +52,7 @@
     boost::endian::little_uint32_buf_t ageMs;
     boost::endian::little_uint32_buf_t remainingMs;
     boost::endian::little_uint8_buf_t failedTrials;
+    boost::endian::little_uint64_buf_t promptHash;
 };
 
 std::uint32_t wireTime(Duration time)
@@ -82,6 +85,8 @@
     wire.endpoint = crash.endpoint;
     wire.ageMs = wireTime(now - crash.at);
     wire.soundParts = crash.soundParts;
+    wire.promptHash = crash.promptHash;
+    wire.isPromptSound = crash.isPromptSound ? 1 : 0;
     return encodeEntry(EntryType::Crash, wire, crash.parts);
 }
 
@@ -89,6 +94,7 @@
 {
     WireBlock wire{};
     wire.revision = block.revision;
+    wire.promptHash = block.promptHash;
     wire.ageMs = wireTime(now - block.since);
     wire.remainingMs = wireTime(block.until - now);
     wire.failedTrials = static_cast<std::uint8_t>(std::min<int>(block.failedTrials, std::numeric_limits<std::uint8_t>::max()));
@@ -104,7 +110,7 @@
         }
         parts.push_back({part.value()});
     }
-    return count > 0 && count <= MaxPromptParts;
+    return count <= MaxPromptParts;
 }
 
 bool takeEntry(std::string_view &bytes, CrashAttributionUpdate &update, TimePoint now)
@@ -123,6 +129,11 @@
         crash.endpoint = wire.endpoint.value();
         crash.at = now - milliseconds(wire.ageMs.value());
         crash.soundParts = wire.soundParts.value();
+        crash.promptHash = wire.promptHash.value();
+        crash.isPromptSound = wire.isPromptSound.value() != 0;
+        if (crash.prompt().isEmpty()) {
+            return false;
+        }
         update.crashes.push_back(std::move(crash));
         return true;
     }
@@ -132,6 +143,10 @@
         || !takeParts(bytes, header.partCount.value(), block.parts)) {
         return false;
     }
+    block.promptHash = wire.promptHash.value();
+    if (block.parts.empty() && !block.isForWholePrompt()) {
+        return false;
+    }
     block.revision = wire.revision.value();
     block.since = now - milliseconds(wire.ageMs.value());
     block.until = now + std::min<Duration>(milliseconds(wire.remainingMs.value()), MaxBlockTime);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -329,7 +329,9 @@
     }
     boost::json::array blocks;
     for (const PromptPartBlock &block : context_.promptPartGuard.attribution().blocks()) {
-        blocks.push_back(boost::json::object{{"promptParts", promptPartsText(block.parts)},
+        blocks.push_back(boost::json::object{{"kind", block.isForWholePrompt() ? "prompt" : "parts"},
+                                             {"promptParts", promptPartsText(block.parts)},
+                                             {"promptHash", promptHashText(block.promptHash)},
                                              {"inForce", block.isInForce()},
                                              {"revision", block.revision},
                                              {"ageMs", std::round(inMilliseconds(now - block.since))},
--- a/src/gateway/promptpart.cpp
+++ b/src/gateway/promptpart.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <charconv>
+#include <utility>
 
 namespace Lentillock
 {
@@ -12,9 +13,7 @@
 
 constexpr int HexadecimalBase = 16;
 
-}
-
-std::string PromptPartId::text() const
+std::string hexadecimal(std::uint64_t value)
 {
     std::string digits(2 * sizeof(value), '\0');
     const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), value, HexadecimalBase);
@@ -22,6 +21,34 @@
     return digits;
 }
 
+}
+
+PromptIdentity::PromptIdentity(PromptParts sharedParts, std::uint64_t promptHash)
+    : parts(std::move(sharedParts))
+    , hash(promptHash)
+{
+}
+
+PromptIdentity::PromptIdentity(std::initializer_list<PromptPartId> sharedParts)
+    : parts(sharedParts)
+{
+}
+
+bool PromptIdentity::isEmpty() const
+{
+    return parts.empty() && hash == 0;
+}
+
+std::string promptHashText(std::uint64_t hash)
+{
+    return hexadecimal(hash);
+}
+
+std::string PromptPartId::text() const
+{
+    return hexadecimal(value);
+}
+
 PromptPartId PromptPartId::fromText(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/src/gateway/promptpart.h
+++ b/src/gateway/promptpart.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,23 @@
 /// Parts of a prompt that other requests can share, in the order of the prompt.
 using PromptParts = std::vector<PromptPartId>;
 
+/// What is known of the prompt of a request: its shared parts, and a hash that only requests with exactly the same prompt have. For a request without a
+/// prompt, the hash is one of its method, target and body.
+struct PromptIdentity {
+    PromptIdentity(PromptParts sharedParts = {}, std::uint64_t promptHash = 0);
+    PromptIdentity(std::initializer_list<PromptPartId> sharedParts);
+
+    PromptParts parts;
+    std::uint64_t hash = 0; ///< 0: unknown.
+
+    auto operator<=>(const PromptIdentity &) const = default;
+
+    [[nodiscard]] bool isEmpty() const;
+};
+
+/// @p hash as hexadecimal digits.
+std::string promptHashText(std::uint64_t hash);
+
 /// Number of parts of a prompt that are considered. Further parts are ignored.
 inline constexpr std::size_t MaxPromptParts = 16;
 
--- a/src/gateway/promptpartguard.cpp
+++ b/src/gateway/promptpartguard.cpp
@@ -28,7 +28,9 @@
     const PromptPartBlock &block = change.block;
     Log::write(Log::Level::Warning,
                block.isInForce() ? "prompt-parts-blocked" : "prompt-parts-released",
-               {{"promptParts", promptPartsText(block.parts)},
+               {{"kind", block.isForWholePrompt() ? "prompt" : "parts"},
+                {"promptParts", promptPartsText(block.parts)},
+                {"promptHash", promptHashText(block.promptHash)},
                 {"revision", std::to_string(block.revision)},
                 {"remainingMs", wholeMilliseconds(std::max(Duration::zero(), block.until - now))},
                 {"failedTrials", std::to_string(block.failedTrials)},
@@ -46,9 +48,9 @@
 }
 
 void PromptPartGuard::confirmCrash(
-    const EndpointRecord &endpoint, const std::string &runId, const PromptParts &parts, TimePoint at, CrashConfirmation::Callback callback)
+    const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashConfirmation::Callback callback)
 {
-    const StartCrash crash{.run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = parts};
+    const StartCrash crash{.run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = prompt.parts, .promptHash = prompt.hash};
     confirmation_.confirm(endpoint.address, [this, crash, callback = std::move(callback)](bool hasCrashed) {
         metrics_.increment("lentillock_start_failures_total", {{"cause", hasCrashed ? "crash" : "other"}});
         if (hasCrashed) {
@@ -59,9 +61,9 @@
     });
 }
 
-void PromptPartGuard::recordStart(const PromptParts &parts, TimePoint now)
+void PromptPartGuard::recordStart(const PromptIdentity &prompt, TimePoint now)
 {
-    attribution_.recordStart(parts, now);
+    attribution_.recordStart(prompt, now);
     reportChanges(now);
 }
 
@@ -81,7 +83,8 @@
     bool isBlocked = false;
     for (const PromptPartBlockChange &change : attribution_.takeChanges()) {
         logChange(change, now);
-        metrics_.increment("lentillock_prompt_part_blocks_total", {{"change", change.block.isInForce() ? "blocked" : "released"}});
+        metrics_.increment("lentillock_prompt_part_blocks_total",
+                           {{"change", change.block.isInForce() ? "blocked" : "released"}, {"kind", change.block.isForWholePrompt() ? "prompt" : "parts"}});
         isBlocked = isBlocked || change.block.isInForce();
     }
     if (!isBlocked) {
--- a/src/gateway/promptpartguard.h
+++ b/src/gateway/promptpartguard.h
@@ -21,12 +21,13 @@
 
     PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, Duration initialBlockTime);
 
-    /// Checks whether @p endpoint has crashed while the run @p runId with @p parts was at the start of its response, and records it if so.
+    /// Checks whether @p endpoint has crashed while the run @p runId of @p prompt was at the start of its response, and records it if so.
     /// Calls @p callback with the result.
-    void confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptParts &parts, TimePoint at, CrashConfirmation::Callback callback);
+    void
+    confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashConfirmation::Callback callback);
 
-    /// Records that a run with @p parts has produced its first event.
-    void recordStart(const PromptParts &parts, TimePoint now);
+    /// Records that a run of @p prompt has produced its first event.
+    void recordStart(const PromptIdentity &prompt, TimePoint now);
 
     /// Calls @p callback whenever a block comes into force, until unsubscribe().
     Subscription subscribe(std::function<void()> callback);
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -80,6 +80,12 @@
     return std::to_string(static_cast<std::int64_t>(value));
 }
 
+/// Equal for requests that ask for the same, whoever sends them.
+std::uint64_t requestHash(const CallerRequest &request)
+{
+    return stableHash(request.body, stableHash(request.head.method + ' ' + request.head.target));
+}
+
 std::string_view outcomeName(AttemptOutcome outcome)
 {
     switch (outcome) {
@@ -108,6 +114,7 @@
     , responseSink_(sink)
     , request_(std::move(request))
     , caller_(context.wire.callerHead(request_.head))
+    , prompt_(caller_.sharedParts, caller_.promptHash != 0 ? caller_.promptHash : requestHash(request_))
     , stream_(caller_.lastEventId)
 {
 }
@@ -161,13 +168,11 @@
     deadline_ = std::min(deadline_, request_.receivedAt + route_->timeout);
     context_.retryBudget.recordRequest(service_->name, now);
     deadlineTimer_ = scheduleAt(deadline_, &RequestExchange::onDeadline);
-    if (!caller_.sharedParts.empty()) {
-        blockSubscription_ = context_.promptPartGuard.subscribe([weakSelf = weak_from_this()] {
-            if (const auto self = weakSelf.lock()) {
-                self->onPartsBlocked();
-            }
-        });
-    }
+    blockSubscription_ = context_.promptPartGuard.subscribe([weakSelf = weak_from_this()] {
+        if (const auto self = weakSelf.lock()) {
+            self->onPromptsBlocked();
+        }
+    });
     return true;
 }
 
@@ -296,14 +301,16 @@
 bool RequestExchange::rejectIfBlocked(TimePoint now)
 {
     // A stream that has begun elsewhere has shown that its parts are sound.
-    if (caller_.sharedParts.empty() || retryState_.responseStarted || isTrial_) {
+    if (retryState_.responseStarted || isTrial_) {
         return false;
     }
     const bool mayTry = context_.readerRank.inFleet == 0;
-    const PromptPartDecision decision = context_.promptPartGuard.attribution().decide(caller_.sharedParts, mayTry, now);
+    const PromptPartDecision decision = context_.promptPartGuard.attribution().decide(prompt_, mayTry, now);
     isTrial_ = decision.kind == PromptPartDecision::Kind::Try;
     if (isTrial_) {
-        Log::write(Log::Level::Warning, "prompt-parts-tried", {{"request", caller_.id.value()}, {"promptParts", promptPartsText(caller_.sharedParts)}});
+        Log::write(Log::Level::Warning,
+                   "prompt-parts-tried",
+                   {{"request", caller_.id.value()}, {"promptParts", promptPartsText(prompt_.parts)}, {"promptHash", promptHashText(prompt_.hash)}});
     }
     if (decision.kind != PromptPartDecision::Kind::Reject) {
         return false;
@@ -324,11 +331,11 @@
     }
 }
 
-void RequestExchange::onPartsBlocked()
+void RequestExchange::onPromptsBlocked()
 {
     const TimePoint now = monotonicNow();
     const bool hasBegun = retryState_.responseStarted || (attempt_ && attempt_->hasEvent);
-    if (finished_ || hasBegun || isTrial_ || !context_.promptPartGuard.attribution().isBlocked(caller_.sharedParts)) {
+    if (finished_ || hasBegun || isTrial_ || !context_.promptPartGuard.attribution().isBlocked(prompt_)) {
         return;
     }
     const auto self = shared_from_this();
@@ -477,8 +484,8 @@
     if (stream_.eventCount() == countBefore) {
         return;
     }
-    if (!std::exchange(attempt.hasEvent, true) && !caller_.sharedParts.empty()) {
-        context_.promptPartGuard.recordStart(caller_.sharedParts, now);
+    if (!std::exchange(attempt.hasEvent, true)) {
+        context_.promptPartGuard.recordStart(prompt_, now);
     }
     attempt.finishPrefill();
     startInactivityTimer(now);
@@ -515,8 +522,8 @@
     }
     keepOnly(attempt);
     context_.health.recordOutcome(attempt.endpoint.id, AttemptOutcome::Completed, now);
-    if (isSuccess(attempt.head.status) && !caller_.sharedParts.empty()) {
-        context_.promptPartGuard.recordStart(caller_.sharedParts, now);
+    if (isSuccess(attempt.head.status)) {
+        context_.promptPartGuard.recordStart(prompt_, now);
     }
     responseSink_.sendResponse(attempt.head, std::move(attempt.body));
     finish("answered");
@@ -559,7 +566,7 @@
     // The deadline may come before the result.
     retryState_.mayHaveRun = true;
     context_.promptPartGuard.confirmCrash(
-        attempt.endpoint, runId(attempt), caller_.sharedParts, monotonicNow(), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
+        attempt.endpoint, runId(attempt), prompt_, monotonicNow(), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
             const auto self = weakSelf.lock();
             EndpointAttempt *attempt = self ? self->findAttempt(number) : nullptr;
             if (attempt == nullptr) {
@@ -571,7 +578,7 @@
             }
             const CrashAttribution &attribution = self->context_.promptPartGuard.attribution();
             self->isTrial_ = self->isTrial_ && !hasCrashed;
-            self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->caller_.sharedParts));
+            self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->prompt_));
             self->failAttempt(*attempt, AttemptOutcome::Incomplete, true);
         });
 }
@@ -722,7 +729,8 @@
                 {"endpointAtFault", attempt.response.endpointAtFault},
                 {"afterMs", integerText(inMilliseconds(now - attempt.startedAt))},
                 {"events", std::to_string(stream_.eventCount())},
-                {"promptParts", promptPartsText(caller_.sharedParts)},
+                {"promptParts", promptPartsText(prompt_.parts)},
+                {"promptHash", promptHashText(prompt_.hash)},
                 {"mayHaveRun", retryState_.mayHaveRun ? "yes" : "no"},
                 {"silentAttempts", std::to_string(silentAttempts_.size())},
                 {"retry", isRetried ? "yes" : "no"}});
@@ -847,7 +855,8 @@
                 {"workspace", workspace_.value()},
                 {"outcome", std::string(outcome)},
                 {"promptTokens", integerText(caller_.promptTokens)},
-                {"promptParts", promptPartsText(caller_.sharedParts)},
+                {"promptParts", promptPartsText(prompt_.parts)},
+                {"promptHash", promptHashText(prompt_.hash)},
                 {"sends", std::to_string(retryState_.attempts)},
                 {"events", std::to_string(stream_.eventCount())},
                 {"firstEventMs", firstEventMs},
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -50,12 +50,12 @@
     /// Places the request and sends it to the chosen endpoint, or holds, rejects or fails it.
     void startAttempt(TimePoint now);
 
-    /// Rejects the request if it contains prompt parts that crash endpoints. Returns whether it did.
+    /// Rejects the request if its prompt, or parts of it, crash endpoints. Returns whether it did.
     bool rejectIfBlocked(TimePoint now);
     void sendBlockedResponse(Duration retryAfter);
 
-    /// Ends the request if it is waiting or has been sent, and its parts are blocked since.
-    void onPartsBlocked();
+    /// Ends the request if it is waiting or has been sent, and its prompt is blocked since.
+    void onPromptsBlocked();
 
     /// Postpones the attempt if the endpoints have to process smaller prompts first or may accept a long prompt later. Returns whether it did.
     bool holdIfNeeded(const Placement &placement, TimePoint now);
@@ -115,6 +115,7 @@
     ResponseSink &responseSink_;
     CallerRequest request_;
     CallerHead caller_;
+    PromptIdentity prompt_;
     ServingPlanPointer plan_;
     const RouteEntry *route_ = nullptr;
     const ServiceEntry *service_ = nullptr;
--- a/src/gateway/wireprotocol.h
+++ b/src/gateway/wireprotocol.h
@@ -25,6 +25,7 @@
     double maxOutputTokens = 0;
     std::optional<double> expectedOutputTokens; ///< Estimate of the caller.
     std::optional<std::uint64_t> lastEventId; ///< Resume the stream after this event.
+    std::uint64_t promptHash = 0; ///< Equal for requests with equal prompts; 0 without a prompt.
     PromptParts sharedParts; ///< At most MaxPromptParts. Without the part that belongs to this request alone.
 };
 
--- a/tests/gateway/crashattributiontest.cpp
+++ b/tests/gateway/crashattributiontest.cpp
@@ -27,6 +27,13 @@
         attribution_.recordCrash({.run = ++runs_, .endpoint = endpoint, .at = now_, .parts = parts}, now_);
     }
 
+    /// A run of the prompt with @p hash ends with a crash of @p endpoint.
+    void crashPrompt(std::uint64_t hash, const PromptParts &parts, std::uint64_t endpoint, Duration after = 300ms)
+    {
+        now_ += after;
+        attribution_.recordCrash({.run = ++runs_, .endpoint = endpoint, .at = now_, .parts = parts, .promptHash = hash}, now_);
+    }
+
     /// Three independent crashes of runs with @p parts.
     void crashThreeTimes(const PromptParts &parts)
     {
@@ -41,19 +48,19 @@
         attribution_.recordStart(parts, now_);
     }
 
-    PromptPartDecision::Kind decide(const PromptParts &parts, bool mayTry = false)
+    PromptPartDecision::Kind decide(const PromptIdentity &prompt, bool mayTry = false)
     {
-        return attribution_.decide(parts, mayTry, now_).kind;
+        return attribution_.decide(prompt, mayTry, now_).kind;
     }
 
-    void expectRejected(const PromptParts &parts)
+    void expectRejected(const PromptIdentity &prompt)
     {
-        EXPECT_EQ(decide(parts), PromptPartDecision::Kind::Reject);
+        EXPECT_EQ(decide(prompt), PromptPartDecision::Kind::Reject);
     }
 
-    void expectSent(const PromptParts &parts)
+    void expectSent(const PromptIdentity &prompt)
     {
-        EXPECT_EQ(decide(parts), PromptPartDecision::Kind::Send);
+        EXPECT_EQ(decide(prompt), PromptPartDecision::Kind::Send);
     }
 
     CrashAttribution attribution_{InitialBlockTime};
@@ -218,6 +225,76 @@
     expectSent({Crashing});
 }
 
+// Guards against one request, sent again and again, that crashes endpoint after endpoint while all requests with its first part are rejected.
+TEST_F(CrashAttributionTest, PromptCrashesTwoEndpoints_IsBlocked_RequestsWithItsPartsAreNot)
+{
+    crashPrompt(1, {Shared}, 1);
+    expectSent({{Shared}, 1});
+    crashPrompt(1, {Shared}, 2);
+    expectRejected({{Shared}, 1});
+    expectSent({{Shared}, 2});
+    expectSent({Shared});
+}
+
+TEST_F(CrashAttributionTest, OnePromptCrashesAgainAndAgain_SharedPart_IsNotBlocked)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
+        crashPrompt(1, {Shared}, endpoint);
+    }
+    expectSent({{Shared}, 2});
+}
+
+TEST_F(CrashAttributionTest, PromptsWithOnePartCrash_Part_IsBlocked)
+{
+    crashPrompt(1, {Shared, Crashing}, 1);
+    crashPrompt(1, {Shared, Crashing}, 2);
+    start({Shared});
+    expectSent({{Shared, Crashing}, 2});
+    crashPrompt(2, {Shared, Crashing}, 3);
+    expectRejected({{Shared, Crashing}, 3});
+    expectSent({{Shared}, 4});
+}
+
+// Guards against blaming a part that a request at the start of its response on the same endpoint has, too.
+TEST_F(CrashAttributionTest, AnotherPromptIsAVictimOfOneCrash_SharedPart_IsNotBlocked)
+{
+    crashPrompt(1, {Shared}, 1);
+    crashPrompt(2, {Shared}, 1, 5ms);
+    crashPrompt(1, {Shared}, 2);
+    crashPrompt(1, {Shared}, 3);
+    expectRejected({{Shared}, 1});
+    expectSent({{Shared}, 2});
+}
+
+TEST_F(CrashAttributionTest, PromptStartsBetweenCrashes_IsNotBlocked)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
+        crashPrompt(1, {}, endpoint);
+        now_ += 10ms;
+        attribution_.recordStart({{}, 1}, now_);
+    }
+    expectSent({{}, 1});
+}
+
+TEST_F(CrashAttributionTest, RequestHasNoParts_ItsPromptCrashesTwoEndpoints_IsBlockedAndReleased)
+{
+    crashPrompt(1, {}, 1);
+    crashPrompt(1, {}, 2);
+    expectRejected({{}, 1});
+    expectSent({{}, 2});
+    now_ += InitialBlockTime;
+    EXPECT_EQ(decide({{}, 1}, true), PromptPartDecision::Kind::Try);
+    attribution_.recordStart({{}, 1}, now_);
+    expectSent({{}, 1});
+}
+
+TEST_F(CrashAttributionTest, OneEndpointCrashesTwiceWithAPrompt_Prompt_IsNotBlocked)
+{
+    crashPrompt(1, {Shared}, 1);
+    crashPrompt(1, {Shared}, 1);
+    expectSent({{Shared}, 1});
+}
+
 // Guards against callers that make the gateway keep as much as they like.
 TEST_F(CrashAttributionTest, CallersSendManyParts_Memory_IsBounded)
 {
@@ -322,6 +399,28 @@
     EXPECT_LE(countBlocks(50'000, 0.1), 79);
 }
 
+// Two consecutive runs of a sound prompt block it with a probability of at most q^2; 100 blocks are expected in 40,000 trials, 140 is four standard
+// deviations above.
+TEST_F(FalseBlockTest, CrashesAreIndependentOfPrompts_SoundPrompt_IsRarelyBlocked)
+{
+    std::mt19937 random(20261205);
+    int blocked = 0;
+    for (int trial = 0; trial < 40'000; ++trial) {
+        CrashAttribution attribution(InitialBlockTime);
+        const PromptIdentity prompt{{Shared}, 1};
+        for (const TimePoint at : {TimePoint(1000s), TimePoint(1001s)}) {
+            if (std::uniform_real_distribution<>()(random) < 0.05) {
+                attribution.recordCrash({.run = random(), .endpoint = random(), .at = at, .parts = prompt.parts, .promptHash = prompt.hash}, at);
+            } else {
+                attribution.recordStart(prompt, at);
+            }
+        }
+        blocked += attribution.isBlocked(prompt) ? 1 : 0;
+        EXPECT_FALSE(attribution.isBlocked({{Shared}, 2}));
+    }
+    EXPECT_LE(blocked, 140);
+}
+
 class CrashAttributionCodecTest : public testing::Test
 {
 protected:
@@ -329,8 +428,11 @@
     {
         CrashAttributionUpdate update;
         for (std::uint64_t run = 1; run <= 100; ++run) {
-            update.crashes.push_back({.run = run, .endpoint = run * 7, .at = now - run * 1ms, .parts = {Shared, {run}}, .soundParts = 1});
+            update.crashes.push_back(
+                {.run = run, .endpoint = run * 7, .at = now - run * 1ms, .parts = {Shared, {run}}, .soundParts = 1, .promptHash = run + 1});
         }
+        update.crashes.push_back({.run = 1000, .endpoint = 7, .at = now, .promptHash = 9, .isPromptSound = true});
+        update.blocks.push_back({.promptHash = 9, .revision = 1, .since = now - 5s, .until = now + 55s});
         update.blocks.push_back({.parts = {Crashing}, .revision = 3, .since = now - 5s, .until = now + 55s, .failedTrials = 1});
         return update;
     }
@@ -368,7 +470,7 @@
 RC_GTEST_FIXTURE_PROP(CrashAttributionCodecTest, Datagram_IsAnyBytes_DoesNotThrow, (const std::string &bytes))
 {
     decodeCrashAttribution(bytes, now_);
-    decodeCrashAttribution("LTC1" + bytes, now_);
+    decodeCrashAttribution("LTC2" + bytes, now_);
 }
 
 }
--- a/tests/soak/promptparttest.py
+++ b/tests/soak/promptparttest.py
@@ -2,7 +2,7 @@
 """Checks that requests with a prompt part that crashes endpoints are stopped, and that other requests with the same first part are served.
 
 Guards against one kind of request that crashes the endpoints of a service one after the other, also when an endpoint ends before it has written the whole
-head of its response. Exit status: 0 if the limits below hold.
+head of its response, and against one prompt that does so and takes the other requests with its first part with it. Exit status: 0 if the limits below hold.
 """
 
 import argparse
@@ -25,6 +25,8 @@
 MIN_SERVED_SHARE = 0.9  # Of the sound requests after twice the stable window.
 SHARED_PART = "e3161bfd7280:40"
 CRASHING_PART = "f865479789ec:900"
+CRASHING_LAST_PART = "7e1f6b90820e:14879"
+MAX_CRASHES_OF_ONE_PROMPT = 3
 
 
 BLOCK_SECONDS = 2.0  # In the second run, in which the part ceases to crash endpoints.
@@ -36,7 +38,7 @@
     """Ends and restarts when it begins to write the response to a request with the crashing part."""
 
     async def stream(self, headers, request_id, stamp, fault, writer):
-        if CRASHING_PART not in headers.get("x-prompt-prefix", "") or time.monotonic() > self.test.repaired_at:
+        if self.test.crashing_text not in headers.get("x-prompt-prefix", "") or time.monotonic() > self.test.repaired_at:
             return await super().stream(headers, request_id, stamp, fault, writer)
         self.test.arrivals.append(time.monotonic())
         await asyncio.sleep(0.05)
@@ -68,6 +70,11 @@
         self.sound = []
         self.rejections = []
         self.cuts_head = False
+        self.is_one_prompt = False
+
+    @property
+    def crashing_text(self):
+        return CRASHING_LAST_PART if self.is_one_prompt else CRASHING_PART
 
     def written_before_crash(self, head):
         if not self.cuts_head:
@@ -85,7 +92,8 @@
 
     async def send_crashing(self, number):
         started_at = time.monotonic()
-        outcome = await self.send_once("stream", number, f"{SHARED_PART},{CRASHING_PART},{number:x}:500")
+        prompt = f"{SHARED_PART},{CRASHING_LAST_PART}" if self.is_one_prompt else f"{SHARED_PART},{CRASHING_PART},{number:x}:500"
+        outcome = await self.send_once("stream", number, prompt)
         self.rejections.append((started_at, outcome))
 
     async def run(self):
@@ -104,6 +112,7 @@
 async def start_test(options, folder, settings):
     test = PromptPartTest(options.binary, 1, 0, folder)
     test.cuts_head = options.cut_head
+    test.is_one_prompt = options.one_prompt
     test.gateway_settings = settings
     await test.set_up()
     for _ in range(ENDPOINTS - len(test.endpoints)):
@@ -133,6 +142,12 @@
     await test.run()
     await test.stop_gateways()
     violations = list(test.checker.violations)
+    if options.one_prompt and len(test.crashes) > MAX_CRASHES_OF_ONE_PROMPT:
+        violations.append(f"BUDGET: {len(test.crashes)} crashes of one prompt")
+    if options.one_prompt:
+        rejected = [outcome for _started_at, outcome in test.sound].count("refused")
+        if rejected:
+            violations.append(f"LOST: {rejected} of {len(test.sound)} sound requests were rejected")
     last = test.crashes[min(len(test.crashes), CRASHES_BEFORE_STOP) - 1]
     late = [arrival for arrival in test.arrivals if arrival > last + STABLE_WINDOW]
     if len(late) > MAX_LATE_SENDS:
@@ -155,6 +170,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("binary", help="the program lentillock-gateway")
     parser.add_argument("--cut-head", action="store_true", help="endpoints crash before the head of the response is complete")
+    parser.add_argument("--one-prompt", action="store_true", help="one prompt crashes endpoints, not a part of many")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
         return asyncio.run(run(options, pathlib.Path(temporary)))
