CrashAttribution: Let all VMs come to the same verdict

Cause, from random histories of crashes and normal starts: a block was released only by a start on a VM where it was in force, not by one that refuted its evidence elsewhere; a release cleared crashes that had happened since; VMs count crashes differently that are 200 ms apart to within a millisecond, since they know the time of a crash only to within the transmission of its report, and they did not tell each other what they had blocked. Ruled out: evidence that differs, by a dump of a failing history (all crashes and starts were the same on all VMs).

Change: a block whose evidence is refuted by the known starts is released, whoever saw them; a release carries its time; parts that are blocked stay so while the crashes are 100 ms apart; blocks are sent like starts, delayed and only if no other VM has sent them, and again when a message of another VM shows that it does not know them.

The limits on traffic hold (CrashAttributionExchangeTest).

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Used instead of MinCrashInterval for parts that are blocked. VMs know the time of a crash only to within the transmission of its report, so with one
+/// interval some would release what others have just blocked.
+constexpr Duration MinCrashIntervalOfBlock = MinCrashInterval / 2;
+
 /// After this time without an outcome, for example because the caller has left, another request may be tried.
 constexpr Duration TrialTimeout = 30s;
 
@@ -28,12 +32,12 @@
     return endpoints.size();
 }
 
-/// Divides @p crashes, which are in the order of their times, into incidents that are at least MinCrashInterval apart.
-std::vector<Crashes> incidentsOf(const Crashes &crashes)
+/// Divides @p crashes, which are in the order of their times, into incidents that are at least @p interval apart.
+std::vector<Crashes> incidentsOf(const Crashes &crashes, Duration interval)
 {
     std::vector<Crashes> incidents;
     for (const StartCrash *crash : crashes) {
-        if (incidents.empty() || crash->at - incidents.back().front()->at >= MinCrashInterval) {
+        if (incidents.empty() || crash->at - incidents.back().front()->at >= interval) {
             incidents.emplace_back();
         }
         incidents.back().push_back(crash);
@@ -70,12 +74,58 @@
 }
 
 /// Whether @p crashes, which are in the order of their times and have a part in common, show that this part crashes endpoints.
-bool areSufficient(const Crashes &crashes)
+bool areSufficient(const Crashes &crashes, Duration interval)
 {
-    const std::vector<Crashes> incidents = incidentsOf(crashes);
+    const std::vector<Crashes> incidents = incidentsOf(crashes, interval);
     return incidents.size() >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints && neededPrompts(incidents) >= MinCrashedPrompts;
 }
 
+/// Whether @p crashes, which are of runs with one prompt, show that this prompt crashes endpoints.
+bool areSufficientForPrompt(const Crashes &crashes)
+{
+    return crashes.size() >= PromptBlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
+}
+
+bool isEarlier(const StartCrash *left, const StartCrash *right)
+{
+    return left->at < right->at;
+}
+
+/// Those of @p crashes for which @p implicates is true, in the same order.
+template<typename Predicate>
+Crashes filtered(const Crashes &crashes, Predicate implicates)
+{
+    Crashes result;
+    std::copy_if(crashes.begin(), crashes.end(), std::back_inserter(result), implicates);
+    return result;
+}
+
+/// Whether normal starts that are known now leave too little evidence for @p block among @p matching, the crashes of requests that it concerns, in the
+/// order of their times. Returns the time of the last of these crashes that such a start followed.
+std::optional<TimePoint> refutation(const PromptPartBlock &block, const Crashes &matching)
+{
+    std::optional<TimePoint> startedAfter;
+    // Evidence that is no longer known, because it is old, refutes nothing.
+    const auto isRefuted = [&](const auto &implicates, const auto &areEnough) {
+        const Crashes cleared = filtered(matching, [&](const StartCrash *crash) { return !implicates(crash); });
+        if (cleared.empty() || areEnough(filtered(matching, implicates))) {
+            return false;
+        }
+        startedAfter = std::max(startedAfter.value_or(TimePoint()), cleared.back()->at);
+        return true;
+    };
+    bool isRefutedForAll = false;
+    if (block.isForWholePrompt()) {
+        isRefutedForAll = isRefuted([](const StartCrash *crash) { return crash->implicatesPrompt(); }, areSufficientForPrompt);
+    } else {
+        isRefutedForAll = std::all_of(block.parts.begin(), block.parts.end(), [&](const PromptPartId &part) {
+            return isRefuted([&part](const StartCrash *crash) { return crash->implicates(part); },
+                             [](const Crashes &crashes) { return areSufficient(crashes, MinCrashIntervalOfBlock); });
+        });
+    }
+    return isRefutedForAll ? startedAfter : std::nullopt;
+}
+
 /// The parts that all @p crashes have in common and that none of them has shown to be sound, in ascending order.
 PromptParts commonParts(const Crashes &crashes)
 {
@@ -170,7 +220,8 @@
     const bool hasChanged = markSound(prompt, now);
     for (PromptPartBlock &block : blocks_) {
         if (block.isInForce() && block.matches(prompt)) {
-            release(block);
+            release(block, now);
+            hasUnsentEvidence_ = true;
         }
     }
     if (hasChanged) {
@@ -214,7 +265,7 @@
 {
     return std::any_of(prompt.parts.begin(), prompt.parts.end(), [this](const PromptPartId &part) {
         const Crashes crashes = evidenceAgainst(part);
-        return incidentsOf(crashes).size() + 1 >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
+        return incidentsOf(crashes, MinCrashInterval).size() + 1 >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
     });
 }
 
@@ -225,8 +276,9 @@
             continue;
         }
         Evidence &evidence = addCrash(received);
-        evidence.sharedSoundParts |= received.soundParts;
-        evidence.isSharedPromptSound = evidence.isSharedPromptSound || received.isPromptSound;
+        // A VM that does not know of a start yet, although it has been sent, has lost the datagram.
+        evidence.sharedSoundParts = received.soundParts;
+        evidence.isSharedPromptSound = received.isPromptSound;
         StartCrash &crash = evidence.crash;
         for (std::size_t index = 0; index < crash.parts.size(); ++index) {
             if (soundParts_.hasStartedAfter(crash.parts[index].value, crash.at)) {
@@ -236,8 +288,12 @@
         crash.isPromptSound = crash.isPromptSound || soundPrompts_.hasStartedAfter(crash.promptHash, crash.at);
     }
     for (const PromptPartBlock &received : update.blocks) {
+        const auto unsent = unsentBlocks_.find({received.parts, received.promptHash});
+        if (unsent != unsentBlocks_.end() && received.revision >= unsent->second) {
+            unsentBlocks_.erase(unsent);
+        }
         const bool hasSubject = received.isForWholePrompt() || !received.parts.empty();
-        if (hasSubject && received.parts.size() <= MaxPromptParts && mergeBlock(received, now)) {
+        if (hasSubject && received.parts.size() <= MaxPromptParts && mergeBlock(received)) {
             reportChange(received);
         }
     }
@@ -263,17 +319,19 @@
     return hasUnsentEvidence_;
 }
 
-bool CrashAttribution::hasUnsentStarts() const
+bool CrashAttribution::hasUnsentVerdicts() const
 {
-    return std::any_of(crashes_.begin(), crashes_.end(), [](const auto &entry) {
-        const Evidence &evidence = entry.second;
-        return evidence.crash.soundParts != evidence.sharedSoundParts || evidence.crash.isPromptSound != evidence.isSharedPromptSound;
-    });
+    return hasOutdatedPeer_ || !unsentBlocks_.empty() || std::any_of(crashes_.begin(), crashes_.end(), [](const auto &entry) {
+               const Evidence &evidence = entry.second;
+               return evidence.crash.soundParts != evidence.sharedSoundParts || evidence.crash.isPromptSound != evidence.isSharedPromptSound;
+           });
 }
 
 void CrashAttribution::markSent()
 {
     hasUnsentEvidence_ = false;
+    hasOutdatedPeer_ = false;
+    unsentBlocks_.clear();
     for (auto &[run, evidence] : crashes_) {
         evidence.sharedSoundParts = evidence.crash.soundParts;
         evidence.isSharedPromptSound = evidence.crash.isPromptSound;
@@ -354,6 +412,7 @@
         }
         blocks_.push_back(block);
     }
+    unsentBlocks_[{block.parts, block.promptHash}] = block.revision;
     reportChange(block);
 }
 
@@ -370,11 +429,11 @@
     reportChange(block);
 }
 
-void CrashAttribution::release(PromptPartBlock &block)
+void CrashAttribution::release(PromptPartBlock &block, TimePoint at)
 {
     ++block.revision;
+    block.since = at;
     trials_.erase({block.parts, block.promptHash});
-    hasUnsentEvidence_ = true;
     reportChange(block);
 }
 
@@ -390,7 +449,7 @@
     changes_.push_back(std::move(change));
 }
 
-bool CrashAttribution::mergeBlock(const PromptPartBlock &received, TimePoint now)
+bool CrashAttribution::mergeBlock(const PromptPartBlock &received)
 {
     PromptPartBlock *known = findBlock(received);
     if (known == nullptr) {
@@ -401,18 +460,21 @@
         return received.isInForce();
     }
     if (received.revision <= known->revision) {
+        hasOutdatedPeer_ = hasOutdatedPeer_ || received.revision < known->revision;
         return false;
     }
     const bool wasInForce = known->isInForce();
     *known = received;
     if (!received.isInForce()) {
-        markSound({received.parts, received.promptHash}, now); // The datagram that says so may have been lost.
+        // The datagram that says so may have been lost. Crashes since then are evidence.
+        markSound({received.parts, received.promptHash}, received.since);
     }
     return received.isInForce() || wasInForce;
 }
 
 void CrashAttribution::evaluate(TimePoint now)
 {
+    releaseRefutedBlocks();
     evaluatePrompts(now);
     evaluateParts(now);
 }
@@ -426,8 +488,7 @@
         }
     }
     for (const auto &[promptHash, crashes] : byPrompt) {
-        const bool isEvident = crashes.size() >= PromptBlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
-        if (isEvident && !isBlocked(crashes.front()->prompt())) {
+        if (areSufficientForPrompt(crashes) && !isBlocked(crashes.front()->prompt())) {
             PromptParts parts = crashes.front()->parts;
             std::sort(parts.begin(), parts.end());
             addBlock({.parts = std::move(parts), .promptHash = promptHash, .revision = 1, .since = now, .until = now + initialBlockTime_});
@@ -448,7 +509,7 @@
             continue;
         }
         const Crashes evidence = evidenceAgainst(part);
-        if (!areSufficient(evidence)) {
+        if (!areSufficient(evidence, MinCrashInterval)) {
             continue;
         }
         const PromptParts parts = commonParts(evidence);
@@ -458,6 +519,25 @@
     }
 }
 
+void CrashAttribution::releaseRefutedBlocks()
+{
+    for (PromptPartBlock &block : blocks_) {
+        if (!block.isInForce()) {
+            continue;
+        }
+        Crashes matching;
+        for (const auto &[run, evidence] : crashes_) {
+            if (block.matches(evidence.crash.prompt())) {
+                matching.push_back(&evidence.crash);
+            }
+        }
+        std::sort(matching.begin(), matching.end(), isEarlier);
+        if (const auto startedAfter = refutation(block, matching)) {
+            release(block, *startedAfter);
+        }
+    }
+}
+
 CrashAttribution::Crashes CrashAttribution::evidenceAgainst(const PromptPartId &part) const
 {
     Crashes result;
@@ -475,7 +555,7 @@
             result.push_back(&crash);
         }
     }
-    std::sort(result.begin(), result.end(), [](const StartCrash *left, const StartCrash *right) { return left->at < right->at; });
+    std::sort(result.begin(), result.end(), isEarlier);
     return result;
 }
 
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -35,7 +35,7 @@
     PromptParts parts{}; ///< In ascending order.
     std::uint64_t promptHash = 0; ///< 0: any prompt with the parts.
     std::uint32_t revision = 0; ///< Increases with each change; odd while the block is in force, even after its release.
-    TimePoint since{};
+    TimePoint since{}; ///< When it came into force, or was released.
     TimePoint until{}; ///< From then on, one request at a time may be tried.
     int failedTrials = 0;
 
@@ -147,8 +147,9 @@
 
     /// Whether this VM has recorded a crash, or changed a block, that it has not sent yet.
     [[nodiscard]] bool hasUnsentEvidence() const;
-    /// Whether this VM has seen a run with a suspected part start normally, and has neither sent that nor received it.
-    [[nodiscard]] bool hasUnsentStarts() const;
+    /// Whether this VM knows of a block, or of a normal start of a suspected prompt or part, that it has neither sent nor received, or that another VM has
+    /// not heard of. All VMs may know of it at the same time.
+    [[nodiscard]] bool hasUnsentVerdicts() const;
     void markSent();
 
     /// Blocks that have changed since the last call.
@@ -163,7 +164,7 @@
 private:
     struct Evidence {
         StartCrash crash;
-        std::uint16_t sharedSoundParts = 0; ///< Those of the sound parts that other VMs have been told of, or have told.
+        std::uint16_t sharedSoundParts = 0; ///< Those of the sound parts that this VM has told since, or that the last message of another VM contained.
         bool isSharedPromptSound = false; ///< The same of the prompt.
     };
     using Crashes = std::vector<const StartCrash *>;
@@ -174,13 +175,17 @@
     bool markSound(const PromptIdentity &prompt, TimePoint at);
     void addBlock(PromptPartBlock block);
     void prolong(PromptPartBlock &block, TimePoint now);
-    void release(PromptPartBlock &block);
+    /// @p at is a time before the normal start that shows that the requests are sound, and as late as is known.
+    void release(PromptPartBlock &block, TimePoint at);
     void reportChange(const PromptPartBlock &block);
     /// Returns whether requests are treated differently from now on.
-    [[nodiscard]] bool mergeBlock(const PromptPartBlock &received, TimePoint now);
+    [[nodiscard]] bool mergeBlock(const PromptPartBlock &received);
 
     /// Blocks all prompts and parts against which there is enough evidence.
     void evaluate(TimePoint now);
+    /// Releases the blocks whose evidence normal starts have refuted that were seen elsewhere, or that were seen before a crash of which this VM has heard
+    /// only since.
+    void releaseRefutedBlocks();
     void evaluatePrompts(TimePoint now);
     void evaluateParts(TimePoint now);
 
@@ -196,6 +201,8 @@
     detail::RecentStarts soundPrompts_;
     std::vector<PromptPartBlockChange> changes_;
     bool hasUnsentEvidence_ = false;
+    std::map<PromptIdentity, std::uint32_t> unsentBlocks_; ///< Revisions of the blocks of this VM that it has neither sent nor received.
+    bool hasOutdatedPeer_ = false; ///< Another VM has sent a block that has changed since.
 };
 
 }
--- a/src/gateway/crashattributionexchange.cpp
+++ b/src/gateway/crashattributionexchange.cpp
@@ -14,9 +14,9 @@
 /// Interval at which the first VM of a group repeats what is known.
 constexpr Duration RefreshInterval = 720ms;
 
-/// Many VMs see a suspected part prove sound at the same time. Each waits for a different part of this time, and most hear of it meanwhile.
-constexpr Duration MaxStartsDelay = 250ms;
-constexpr std::uint64_t StartsDelaySteps = 256;
+/// Many VMs block or clear a prompt or part at the same time. Each waits for a different part of this time, and most hear of it meanwhile.
+constexpr Duration MaxVerdictsDelay = 250ms;
+constexpr std::uint64_t VerdictsDelaySteps = 256;
 
 void append(std::vector<OutgoingDatagram> &datagrams, const std::vector<OutgoingDatagram> &more)
 {
@@ -36,10 +36,10 @@
     if (attribution_.hasUnsentEvidence()) {
         sendDue_ = now;
         isRepeat_ = false;
-    } else if (!attribution_.hasUnsentStarts()) {
-        startsDue_.reset();
-    } else if (!startsDue_) {
-        startsDue_ = now + startsDelay();
+    } else if (!attribution_.hasUnsentVerdicts()) {
+        verdictsDue_.reset();
+    } else if (!verdictsDue_) {
+        verdictsDue_ = now + verdictsDelay();
     }
     const bool isKnowing = attribution_.crashCount() > 0 || !attribution_.blocks().empty();
     if (isKnowing && refreshDue_ == TimePoint::max()) {
@@ -50,9 +50,9 @@
         mustSend = true;
         sendDue_ = std::exchange(isRepeat_, true) ? std::nullopt : std::optional(now + RepeatDelay);
     }
-    if (startsDue_ && now >= *startsDue_) {
+    if (verdictsDue_ && now >= *verdictsDue_) {
         mustSend = true;
-        startsDue_.reset();
+        verdictsDue_.reset();
     }
     if (now >= refreshDue_) {
         refreshDue_ = isKnowing ? now + RefreshInterval : TimePoint::max();
@@ -63,7 +63,7 @@
 
 TimePoint CrashAttributionExchange::nextDue() const
 {
-    return std::min({refreshDue_, sendDue_.value_or(TimePoint::max()), startsDue_.value_or(TimePoint::max())});
+    return std::min({refreshDue_, sendDue_.value_or(TimePoint::max()), verdictsDue_.value_or(TimePoint::max())});
 }
 
 std::optional<std::vector<OutgoingDatagram>> CrashAttributionExchange::receive(std::string_view bytes, TimePoint now)
@@ -96,9 +96,9 @@
     return datagrams;
 }
 
-Duration CrashAttributionExchange::startsDelay() const
+Duration CrashAttributionExchange::verdictsDelay() const
 {
-    return MaxStartsDelay * static_cast<int>(fleet_.peers().ownHash() % StartsDelaySteps) / static_cast<int>(StartsDelaySteps);
+    return MaxVerdictsDelay * static_cast<int>(fleet_.peers().ownHash() % VerdictsDelaySteps) / static_cast<int>(VerdictsDelaySteps);
 }
 
 }
--- a/src/gateway/crashattributionexchange.h
+++ b/src/gateway/crashattributionexchange.h
@@ -30,13 +30,13 @@
 
 private:
     [[nodiscard]] std::vector<OutgoingDatagram> toFleet(TimePoint now);
-    [[nodiscard]] Duration startsDelay() const;
+    [[nodiscard]] Duration verdictsDelay() const;
 
     CrashAttribution &attribution_;
     const LoadExchange &fleet_;
     std::optional<TimePoint> sendDue_;
     bool isRepeat_ = false; ///< The next sending repeats the last one.
-    std::optional<TimePoint> startsDue_; ///< When starts of suspected parts are sent, unless another VM has done so before.
+    std::optional<TimePoint> verdictsDue_; ///< When starts of suspected parts are sent, unless another VM has done so before.
     TimePoint refreshDue_ = TimePoint::max();
 };
 
--- a/tests/gateway/crashattributionexchangetest.cpp
+++ b/tests/gateway/crashattributionexchangetest.cpp
@@ -189,6 +189,55 @@
 
 INSTANTIATE_TEST_SUITE_P(FleetSizes, CrashAttributionExchangeTest, testing::Values(8, 195));
 
+/// Random histories of crashes and normal starts on all VMs.
+class CrashAttributionAgreementTest : public testing::TestWithParam<std::size_t>
+{
+protected:
+    /// Plays the history of @p seed. Returns the prompts on which VMs disagree VerdictTime after its end.
+    std::vector<std::string> playHistory(unsigned seed)
+    {
+        LoadExchangeSimulation fleet({.vmCount = GetParam(), .zoneCount = ZoneCount, .lossRate = 0.03, .seed = seed});
+        fleet.startAll();
+        fleet.run(2s);
+        std::mt19937 random(seed);
+        const auto draw = [&random](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random); };
+        for (int event = 0; event < 40; ++event) {
+            const PromptIdentity &prompt = prompts_.at(draw(prompts_.size()));
+            if (draw(3) == 0) {
+                fleet.startRun(draw(GetParam()), prompt);
+            } else {
+                fleet.crash(draw(GetParam()), draw(8), prompt);
+            }
+            fleet.run(milliseconds(draw(200)));
+        }
+        fleet.run(VerdictTime);
+        std::vector<std::string> disagreements;
+        for (const PromptIdentity &prompt : prompts_) {
+            std::size_t blocking = 0;
+            for (std::size_t vm = 0; vm < GetParam(); ++vm) {
+                blocking += fleet.attribution(vm).isBlocked(prompt) ? 1 : 0;
+            }
+            if (blocking != 0 && blocking != GetParam()) {
+                disagreements.push_back(promptPartsText(prompt.parts) + ' ' + promptHashText(prompt.hash) + ": " + std::to_string(blocking));
+            }
+        }
+        return disagreements;
+    }
+
+    const std::vector<PromptIdentity> prompts_{{{Shared}, 1}, {{Shared}, 2}, {{Shared, Crashing}, 3}, {{Shared, Crashing}, 4}, {{Crashing}, 5}, {{}, 6}};
+};
+
+// Guards against VMs that block a prompt while others send it on: the crashes go on, and sound requests are rejected by some VMs only.
+TEST_P(CrashAttributionAgreementTest, CrashesAndStartsAreSeenAnywhere_AllVms_AgreeOnBlocks)
+{
+    const unsigned histories = GetParam() < 16 ? 200 : 1400 / static_cast<unsigned>(GetParam());
+    for (unsigned seed = 1; seed <= histories; ++seed) {
+        EXPECT_EQ(playHistory(seed), std::vector<std::string>()) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(FleetSizes, CrashAttributionAgreementTest, testing::Values(7, 70, 195));
+
 class LargeFleetCrashAttributionExchangeTest : public CrashAttributionExchangeTest
 {
 };
--- a/tests/gateway/crashattributiontest.cpp
+++ b/tests/gateway/crashattributiontest.cpp
@@ -335,7 +335,7 @@
     }
     attribution_.merge(update, now_);
     expectSent({Shared});
-    EXPECT_TRUE(attribution_.hasUnsentStarts());
+    EXPECT_TRUE(attribution_.hasUnsentVerdicts());
 }
 
 TEST_F(CrashAttributionTest, ReleaseArrives_OlderBlockFollows_StaysReleased)
--- a/tests/gateway/loadexchangesimulation.cpp
+++ b/tests/gateway/loadexchangesimulation.cpp
@@ -136,15 +136,15 @@
     takeDue(vm);
 }
 
-void LoadExchangeSimulation::crash(std::size_t vm, std::size_t endpoint, const PromptParts &parts)
+void LoadExchangeSimulation::crash(std::size_t vm, std::size_t endpoint, const PromptIdentity &prompt)
 {
-    attribution(vm).recordCrash({.run = ++crashCount_, .endpoint = endpoint, .at = now_, .parts = parts}, now_);
+    attribution(vm).recordCrash({.run = ++crashCount_, .endpoint = endpoint, .at = now_, .parts = prompt.parts, .promptHash = prompt.hash}, now_);
     takeDue(vm);
 }
 
-void LoadExchangeSimulation::startRun(std::size_t vm, const PromptParts &parts)
+void LoadExchangeSimulation::startRun(std::size_t vm, const PromptIdentity &prompt)
 {
-    attribution(vm).recordStart(parts, now_);
+    attribution(vm).recordStart(prompt, now_);
     takeDue(vm);
 }
 
--- a/tests/gateway/loadexchangesimulation.h
+++ b/tests/gateway/loadexchangesimulation.h
@@ -49,10 +49,10 @@
     FleetLoad::Ticket begin(std::size_t vm, std::size_t endpoint);
     void end(std::size_t vm, FleetLoad::Ticket ticket);
 
-    /// A run of @p vm with @p parts ends with a crash of @p endpoint.
-    void crash(std::size_t vm, std::size_t endpoint, const PromptParts &parts);
-    /// A run of @p vm with @p parts produces its first event.
-    void startRun(std::size_t vm, const PromptParts &parts);
+    /// A run of @p prompt on @p vm ends with a crash of @p endpoint.
+    void crash(std::size_t vm, std::size_t endpoint, const PromptIdentity &prompt);
+    /// A run of @p prompt on @p vm produces its first event.
+    void startRun(std::size_t vm, const PromptIdentity &prompt);
 
     [[nodiscard]] CrashAttribution &attribution(std::size_t vm);
     [[nodiscard]] FleetLoad &load(std::size_t vm);
