CrashAttribution: Decide with one pass whether one prompt explains all crashes

No change of behavior: whether one prompt is among the crashes of all incidents is the same question.

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -45,39 +45,22 @@
     return incidents;
 }
 
-/// Number of prompts that are needed to explain all @p incidents, chosen one after the other by how many they explain.
-std::size_t neededPrompts(std::vector<Crashes> incidents)
-{
-    std::size_t count = 0;
-    while (!incidents.empty()) {
-        std::map<std::uint64_t, std::size_t> explained;
-        for (const Crashes &incident : incidents) {
-            std::set<std::uint64_t> prompts;
-            for (const StartCrash *crash : incident) {
-                // A run whose prompt is not known has one of its own.
-                prompts.insert(crash->promptHash != 0 ? crash->promptHash : crash->run);
-            }
-            for (const std::uint64_t prompt : prompts) {
-                ++explained[prompt];
-            }
-        }
-        const std::uint64_t best
-            = std::max_element(explained.begin(), explained.end(), [](const auto &left, const auto &right) { return left.second < right.second; })->first;
-        std::erase_if(incidents, [best](const Crashes &incident) {
-            return std::any_of(incident.begin(), incident.end(), [best](const StartCrash *crash) {
-                return (crash->promptHash != 0 ? crash->promptHash : crash->run) == best;
-            });
-        });
-        ++count;
-    }
-    return count;
+/// Whether runs of one prompt were among the crashes of all @p incidents, so that this prompt alone explains them.
+bool haveCommonPrompt(const std::vector<Crashes> &incidents)
+{
+    return std::any_of(incidents.front().begin(), incidents.front().end(), [&incidents](const StartCrash *candidate) {
+        return candidate->promptHash != 0 && std::all_of(incidents.begin(), incidents.end(), [candidate](const Crashes &incident) {
+                   return std::any_of(
+                       incident.begin(), incident.end(), [candidate](const StartCrash *crash) { return crash->promptHash == candidate->promptHash; });
+               });
+    });
 }
 
 /// Whether @p crashes, which are in the order of their times and have a part in common, show that this part crashes endpoints.
 bool areSufficient(const Crashes &crashes, Duration interval)
 {
     const std::vector<Crashes> incidents = incidentsOf(crashes, interval);
-    return incidents.size() >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints && neededPrompts(incidents) >= MinCrashedPrompts;
+    return incidents.size() >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints && !haveCommonPrompt(incidents);
 }
 
 /// Whether @p crashes, which are of runs with one prompt, show that this prompt crashes endpoints.
@@ -114,16 +97,16 @@
         startedAfter = std::max(startedAfter.value_or(TimePoint()), cleared.back()->at);
         return true;
     };
-    bool isRefutedForAll = false;
+    bool isBlockRefuted = false;
     if (block.isForWholePrompt()) {
-        isRefutedForAll = isRefuted([](const StartCrash *crash) { return crash->implicatesPrompt(); }, areSufficientForPrompt);
+        isBlockRefuted = isRefuted([](const StartCrash *crash) { return crash->implicatesPrompt(); }, areSufficientForPrompt);
     } else {
-        isRefutedForAll = std::all_of(block.parts.begin(), block.parts.end(), [&](const PromptPartId &part) {
+        isBlockRefuted = std::all_of(block.parts.begin(), block.parts.end(), [&](const PromptPartId &part) {
             return isRefuted([&part](const StartCrash *crash) { return crash->implicates(part); },
                              [](const Crashes &crashes) { return areSufficient(crashes, MinCrashIntervalOfBlock); });
         });
     }
-    return isRefutedForAll ? startedAfter : std::nullopt;
+    return isBlockRefuted ? startedAfter : std::nullopt;
 }
 
 /// The parts that all @p crashes have in common and that none of them has shown to be sound, in ascending order.
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -88,9 +88,6 @@
 /// Number of crashes after which one prompt is blocked. Fewer than for parts, since a false block concerns only repetitions of that request.
 inline constexpr std::size_t PromptBlockingCrashes = 2;
 
-/// Parts are blocked only if the crashes cannot be explained by fewer prompts than this.
-inline constexpr std::size_t MinCrashedPrompts = 2;
-
 /// Time for which a crash counts.
 inline constexpr Duration CrashRetention = 10min;
 
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -411,7 +411,7 @@
     const HttpClientConnectionPointer connection = attempt_->connection;
     connection->exchange(context_.wire.endpointRequest(request_.head, request_.body, options), responseHandlers(attempt_->number));
     startInactivityTimer(now);
-    // Two endpoints at most should process a prompt at the same time, because it may crash both. A stream that has begun has shown that its prompt is sound.
+    // Two endpoints should not process the same prompt for long, because it may crash both. A stream that has begun has shown that its prompt is sound.
     if (!silentAttempts_.empty() && !retryState_.responseStarted) {
         acceptanceTimer_ = scheduleAt(now + RejectionTime, &RequestExchange::onRequestAccepted);
     }
