--- a/tests/gateway/httpclientconnectiontest.cpp
+++ b/tests/gateway/httpclientconnectiontest.cpp
@@ -236,8 +236,8 @@
 // The client reads at most 16 KiB at a time; the head ends at that limit or one byte before or after it.
 TEST_F(HttpClientConnectionCutTest, HeadEndsAtTheLimitOfARead_BodyIsCut_ExchangeFails)
 {
-    constexpr std::size_t ReadSize = 16384;
-    for (const std::size_t length : {ReadSize - 1, ReadSize, ReadSize + 1}) {
+    constexpr std::size_t readSize = 16384;
+    for (const std::size_t length : {readSize - 1, readSize, readSize + 1}) {
         std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nA: ";
         head += std::string(length - head.size() - 4, 'x') + "\r\n\r\n";
         EXPECT_EQ(receiveCut(head, false).failure, ExchangeFailure::Broken) << length;
