--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -121,7 +121,8 @@
             "vm": f"vm-{index}", "zone": f"zone-{index % 2}", "ip": self.ip, "callerAddress": f"{self.ip}:{ports[0]}",
             "readinessAddress": f"{self.ip}:{ports[1]}", "storeAddress": store_address, "peerPort": ports[2], "metricsPort": ports[3],
             "drainGraceSeconds": DRAIN_GRACE_MS / 1000, **(more_settings or {})}))
-        self.log = open(folder / f"gateway-{index}.log", "ab")
+        self.log_path = folder / f"gateway-{index}.log"
+        self.log = open(self.log_path, "ab")
         self.binary = binary
         self.process = None
         self.started_at = 0.0
--- a/tests/soak/storeoutagetest.py
+++ b/tests/soak/storeoutagetest.py
@@ -77,6 +77,7 @@
         killed.send(signal.SIGKILL)
         killed.process.wait()
         leaving = self.endpoints.pop(0)
+        print(f"{time.time() * 1000:.0f} {killed.ip} is killed, the entry of {leaving.instance_id} is removed")
         self.store.put("keyed.servers", leaving.instance_id, None)
         removed_at = time.monotonic()
         arrivals = []
@@ -98,6 +99,15 @@
         killed.start()
         await self.add_endpoint()
 
+    def print_log_of_store(self):
+        """Prints what the gateways have logged of the store and of the list of endpoints, so that a failure can be traced."""
+        lines = []
+        for gateway in self.gateways:
+            for line in gateway.log_path.read_text().splitlines():
+                if '"store-' in line or '"endpoints-changed"' in line or '"read-from-peer"' in line or '"started"' in line:
+                    lines.append((json.loads(line)["timeMs"], gateway.ip, line))
+        print("\n".join(f"{ip} {line}" for _time, ip, line in sorted(lines)))
+
     async def play(self):
         self.request_count = 0
         await self.set_up()
@@ -114,6 +124,8 @@
     test = StoreOutageTest(binary, 1, 0, folder, GATEWAYS)
     await test.play()
     print("\n".join(test.checker.violations))
+    if test.checker.violations:
+        test.print_log_of_store()
     return 1 if test.checker.violations else 0
 
 
