CrashAttribution: Take crashes at the same time for one incident of a prompt, too

Found while looking at the logs of the soak, whose calls are all equal: two crashes of equal requests on two endpoints blocked them, also if a part of the fleet had crashed at one moment. Sound, frequent calls would have been rejected for a minute.

Change: crashes of one prompt count only if they are 100 ms apart (50 ms to stay blocked, so that VMs agree), and requests without shared parts need three crashes, as parts do.

Test: CrashAttributionTest.ManyEndpointsCrashAtOnce_NoPromptOrCall_IsBlocked would have been rejected before.

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -11,9 +11,14 @@
 namespace
 {
 
-/// Used instead of MinCrashInterval for parts that are blocked. VMs know the time of a crash only to within the transmission of its report, so with one
-/// interval some would release what others have just blocked.
+/// Crashes of runs with one prompt that are closer together have a common cause. Shorter than MinCrashInterval, because a request that is sent again after
+/// a crash reaches the next endpoint soon.
+constexpr Duration MinPromptCrashInterval = 100ms;
+
+/// Used instead of MinCrashInterval and MinPromptCrashInterval for what is blocked. VMs know the time of a crash only to within the transmission of its
+/// report, so with one interval some would release what others have just blocked.
 constexpr Duration MinCrashIntervalOfBlock = MinCrashInterval / 2;
+constexpr Duration MinPromptCrashIntervalOfBlock = MinPromptCrashInterval / 2;
 
 /// After this time without an outcome, for example because the caller has left, another request may be tried.
 constexpr Duration TrialTimeout = 30s;
@@ -63,10 +68,15 @@
     return incidents.size() >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints && !haveCommonPrompt(incidents);
 }
 
-/// Whether @p crashes, which are of runs with one prompt, show that this prompt crashes endpoints.
-bool areSufficientForPrompt(const Crashes &crashes)
+/// Whether @p crashes, which are in the order of their times and of runs with one prompt, show that this prompt crashes endpoints. Requests without shared
+/// parts, such as calls, may be equal although they are sound and frequent; they need as many crashes as parts do.
+bool areSufficientForPrompt(const Crashes &crashes, Duration interval)
 {
-    return crashes.size() >= PromptBlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
+    if (crashes.empty() || endpointCount(crashes) < MinCrashedEndpoints) {
+        return false;
+    }
+    const std::size_t neededCrashes = crashes.front()->parts.empty() ? BlockingCrashes : PromptBlockingCrashes;
+    return incidentsOf(crashes, interval).size() >= neededCrashes;
 }
 
 bool isEarlier(const StartCrash *left, const StartCrash *right)
@@ -99,7 +109,8 @@
     };
     bool isBlockRefuted = false;
     if (block.isForWholePrompt()) {
-        isBlockRefuted = isRefuted([](const StartCrash *crash) { return crash->implicatesPrompt(); }, areSufficientForPrompt);
+        isBlockRefuted = isRefuted([](const StartCrash *crash) { return crash->implicatesPrompt(); },
+                                   [](const Crashes &crashes) { return areSufficientForPrompt(crashes, MinPromptCrashIntervalOfBlock); });
     } else {
         isBlockRefuted = std::all_of(block.parts.begin(), block.parts.end(), [&](const PromptPartId &part) {
             return isRefuted([&part](const StartCrash *crash) { return crash->implicates(part); },
@@ -470,8 +481,9 @@
             byPrompt[evidence.crash.promptHash].push_back(&evidence.crash);
         }
     }
-    for (const auto &[promptHash, crashes] : byPrompt) {
-        if (areSufficientForPrompt(crashes) && !isBlocked(crashes.front()->prompt())) {
+    for (auto &[promptHash, crashes] : byPrompt) {
+        std::sort(crashes.begin(), crashes.end(), isEarlier);
+        if (areSufficientForPrompt(crashes, MinPromptCrashInterval) && !isBlocked(crashes.front()->prompt())) {
             PromptParts parts = crashes.front()->parts;
             std::sort(parts.begin(), parts.end());
             addBlock({.parts = std::move(parts), .promptHash = promptHash, .revision = 1, .since = now, .until = now + initialBlockTime_});
