PromptPartGuard: Log what the check of a crash has found

Change: crash-checked states whether the address accepted, refused or did not answer a connection; it and attempt-failed state how many connections this VM still has to the endpoint, and how many the endpoint has closed within 250 ms. The pool counts them. No decision uses them.

--- a/src/gateway/crashconfirmation.cpp
+++ b/src/gateway/crashconfirmation.cpp
@@ -47,17 +47,19 @@
     check->timer.expires_after(ConfirmationTimeout);
     check->timer.async_wait([this, check, address](const boost::system::error_code &error) {
         if (!error) {
-            finish(address, false);
+            finish(address, ListenerState::Unknown);
         }
     });
     check->socket.async_connect(parseSocketAddress(address), [this, check, address](const boost::system::error_code &error) {
-        if (error != boost::asio::error::operation_aborted) {
-            finish(address, error == boost::asio::error::connection_refused);
+        if (!error) {
+            finish(address, ListenerState::Open);
+        } else if (error != boost::asio::error::operation_aborted) {
+            finish(address, error == boost::asio::error::connection_refused ? ListenerState::Closed : ListenerState::Unknown);
         }
     });
 }
 
-void CrashConfirmation::finish(const std::string &address, bool hasCrashed)
+void CrashConfirmation::finish(const std::string &address, ListenerState listener)
 {
     const auto found = checks_.find(address);
     if (found == checks_.end()) {
@@ -69,7 +71,7 @@
     boost::system::error_code ignored; // The socket is discarded either way.
     check->socket.close(ignored);
     for (const Callback &callback : check->callbacks) {
-        callback(hasCrashed);
+        callback(listener);
     }
 }
 
--- a/src/gateway/crashconfirmation.h
+++ b/src/gateway/crashconfirmation.h
@@ -13,13 +13,19 @@
 namespace Lentillock
 {
 
+/// What an attempt to connect to an address has shown.
+enum class ListenerState {
+    Open, ///< The connection was accepted.
+    Closed, ///< It was refused.
+    Unknown, ///< There was no answer, or another error.
+};
+
 /// Finds out whether the process at an address has ended, by connecting to it: the operating system of a machine whose process has ended refuses the
 /// connection. A connection that is accepted, for example after a reset or a broken response, or that is not answered shows no crash.
 class CrashConfirmation
 {
 public:
-    /// Called with true if the process has ended.
-    using Callback = std::function<void(bool hasCrashed)>;
+    using Callback = std::function<void(ListenerState listener)>;
 
     explicit CrashConfirmation(boost::asio::io_context &context);
     ~CrashConfirmation();
@@ -32,7 +38,7 @@
 private:
     struct Check;
 
-    void finish(const std::string &address, bool hasCrashed);
+    void finish(const std::string &address, ListenerState listener);
 
     boost::asio::io_context &context_;
     std::map<std::string, std::shared_ptr<Check>> checks_;
--- a/src/gateway/endpointconnectionpool.cpp
+++ b/src/gateway/endpointconnectionpool.cpp
@@ -70,7 +70,11 @@
         }
     }
     ++openedCount_;
-    return std::make_shared<HttpClientConnection>(context_, parseSocketAddress(endpoint.address), ConnectTimeout);
+    const auto connection = std::make_shared<HttpClientConnection>(context_, parseSocketAddress(endpoint.address), ConnectTimeout);
+    std::vector<std::weak_ptr<HttpClientConnection>> &known = histories_[keyOf(endpoint)].connections;
+    std::erase_if(known, [](const std::weak_ptr<HttpClientConnection> &weak) { return weak.expired(); });
+    known.push_back(connection);
+    return connection;
 }
 
 void EndpointConnectionPool::release(const EndpointRecord &endpoint, const HttpClientConnectionPointer &connection, std::size_t idleLimit, TimePoint now)
@@ -83,6 +87,9 @@
     }
     idle.push_back(connection);
     connection->setIdleCloseHandler([this, key, raw = connection.get()] {
+        if (const TimePoint lostAt = monotonicNow(); raw->wasExpectedOpen(lostAt)) {
+            recordLoss(key, lostAt);
+        }
         const auto found = idle_.find(key);
         if (found != idle_.end()) {
             std::erase_if(found->second, [raw](const HttpClientConnectionPointer &known) { return known.get() == raw; });
@@ -90,6 +97,35 @@
     });
 }
 
+void EndpointConnectionPool::recordLoss(const EndpointRecord &endpoint, TimePoint now)
+{
+    recordLoss(keyOf(endpoint), now);
+}
+
+void EndpointConnectionPool::recordLoss(const Key &key, TimePoint now)
+{
+    std::deque<TimePoint> &losses = histories_[key].losses;
+    std::erase_if(losses, [now](TimePoint at) { return now - at > ConnectionLossWindow; });
+    losses.push_back(now);
+}
+
+EndpointConnectionCounts EndpointConnectionPool::counts(const EndpointRecord &endpoint, TimePoint now) const
+{
+    EndpointConnectionCounts counts;
+    const auto found = histories_.find(keyOf(endpoint));
+    if (found == histories_.end()) {
+        return counts;
+    }
+    const History &history = found->second;
+    for (const std::weak_ptr<HttpClientConnection> &weak : history.connections) {
+        const auto connection = weak.lock();
+        counts.open += connection && connection->isOpen() ? 1 : 0;
+    }
+    counts.lost = static_cast<std::size_t>(
+        std::count_if(history.losses.begin(), history.losses.end(), [now](TimePoint at) { return now - at <= ConnectionLossWindow; }));
+    return counts;
+}
+
 void EndpointConnectionPool::prune(const EndpointDirectory &directory, TimePoint now)
 {
     for (auto entry = idle_.begin(); entry != idle_.end();) {
@@ -104,6 +140,13 @@
         });
         entry = isCurrent ? std::next(entry) : idle_.erase(entry);
     }
+    std::erase_if(histories_, [&directory, now](const auto &entry) {
+        const auto &[key, history] = entry;
+        const EndpointRecord *record = directory.find(std::get<EndpointId>(key));
+        const bool isRecent = !history.losses.empty() && now - history.losses.back() <= ConnectionLossWindow;
+        const bool isInUse = std::any_of(history.connections.begin(), history.connections.end(), [](const auto &weak) { return !weak.expired(); });
+        return !isRecent && !isInUse && (record == nullptr || keyOf(*record) != key);
+    });
 }
 
 std::uint64_t EndpointConnectionPool::openedCount() const
--- a/src/gateway/endpointconnectionpool.h
+++ b/src/gateway/endpointconnectionpool.h
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Lentillock
 {
@@ -20,6 +22,17 @@
     Never, ///< For requests that must not be sent twice: an idle connection may be closed already, and a request on it would be lost.
 };
 
+/// Connections of this VM to one incarnation of an endpoint.
+struct EndpointConnectionCounts {
+    std::size_t open = 0;
+    std::size_t lost = 0; ///< Closed by the endpoint within the last ConnectionLossWindow, before their time.
+
+    auto operator<=>(const EndpointConnectionCounts &) const = default;
+};
+
+/// Connections that an endpoint loses within this time are lost at one moment. Allows for one retransmission between availability zones.
+inline constexpr Duration ConnectionLossWindow = 250ms;
+
 /// Pools idle connections to endpoints. A connection belongs to one incarnation of an endpoint and is closed when that incarnation ends.
 class EndpointConnectionPool
 {
@@ -31,6 +44,11 @@
     /// Returns @p connection to the pool, or closes it if the endpoint already has @p idleLimit idle connections.
     void release(const EndpointRecord &endpoint, const HttpClientConnectionPointer &connection, std::size_t idleLimit, TimePoint now);
 
+    /// Records that @p endpoint has closed a connection with a request in progress. Losses of idle connections are recorded by the pool itself.
+    void recordLoss(const EndpointRecord &endpoint, TimePoint now);
+
+    [[nodiscard]] EndpointConnectionCounts counts(const EndpointRecord &endpoint, TimePoint now) const;
+
     /// Closes idle connections that have expired, and those to endpoints that are draining, removed or replaced.
     void prune(const EndpointDirectory &directory, TimePoint now);
 
@@ -40,10 +58,17 @@
     /// Identifies an incarnation of an endpoint: id, address and start time.
     using Key = std::tuple<EndpointId, std::string, std::int64_t>;
 
+    struct History {
+        std::vector<std::weak_ptr<HttpClientConnection>> connections; ///< Those that were open or being opened when the last one was added.
+        std::deque<TimePoint> losses;
+    };
+
     [[nodiscard]] static Key keyOf(const EndpointRecord &endpoint);
+    void recordLoss(const Key &key, TimePoint now);
 
     boost::asio::io_context &context_;
     std::map<Key, std::deque<HttpClientConnectionPointer>> idle_; ///< For each endpoint, the most recently used connection is last.
+    std::map<Key, History> histories_;
     std::uint64_t openedCount_ = 0;
 };
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -41,7 +41,7 @@
         , wire(wireProtocol)
         , connectionPool(ioContext)
         , retryBudget(settings.retryBudget)
-        , promptPartGuard(ioContext, metrics, settings.promptBlockTime)
+        , promptPartGuard(ioContext, metrics, connectionPool, settings.promptBlockTime)
     {
     }
 
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -112,6 +112,16 @@
     return connected_;
 }
 
+bool HttpClientConnection::isOpen() const
+{
+    return connected_ && !closed_;
+}
+
+bool HttpClientConnection::wasExpectedOpen(TimePoint now) const
+{
+    return now < reusableUntil_;
+}
+
 void HttpClientConnection::setIdleCloseHandler(std::function<void()> handler)
 {
     idleCloseHandler_ = std::move(handler);
--- a/src/gateway/httpclientconnection.h
+++ b/src/gateway/httpclientconnection.h
@@ -59,6 +59,11 @@
     /// Whether another exchange may start on this connection.
     [[nodiscard]] bool isReusable(TimePoint now) const;
     [[nodiscard]] bool hasConnected() const;
+    /// Whether the connection has been established and neither side has closed it.
+    [[nodiscard]] bool isOpen() const;
+
+    /// Whether the server has stated that it keeps the connection open until after @p now.
+    [[nodiscard]] bool wasExpectedOpen(TimePoint now) const;
 
     /// Sets the handler that is called when the peer closes the connection, or sends bytes on it, between two exchanges.
     void setIdleCloseHandler(std::function<void()> handler);
--- a/src/gateway/promptpartguard.cpp
+++ b/src/gateway/promptpartguard.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 
+#include <string_view>
 #include <vector>
 
 namespace Lentillock
@@ -16,6 +17,19 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+std::string_view listenerName(ListenerState state)
+{
+    switch (state) {
+    case ListenerState::Open:
+        return "open";
+    case ListenerState::Closed:
+        return "closed";
+    case ListenerState::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 void logChange(const PromptPartBlockChange &change, TimePoint now)
 {
     std::string ages;
@@ -40,18 +54,28 @@
 
 }
 
-PromptPartGuard::PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, Duration initialBlockTime)
+PromptPartGuard::PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, const EndpointConnectionPool &connections, Duration initialBlockTime)
     : metrics_(metrics)
+    , connections_(connections)
     , attribution_(initialBlockTime)
     , confirmation_(context)
 {
 }
 
-void PromptPartGuard::confirmCrash(
-    const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashConfirmation::Callback callback)
+void PromptPartGuard::confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashCallback callback)
 {
     const StartCrash crash{.run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = prompt.parts, .promptHash = prompt.hash};
-    confirmation_.confirm(endpoint.address, [this, crash, callback = std::move(callback)](bool hasCrashed) {
+    confirmation_.confirm(endpoint.address, [this, endpoint, runId, crash, callback = std::move(callback)](ListenerState listener) {
+        const bool hasCrashed = listener == ListenerState::Closed;
+        const EndpointConnectionCounts counts = connections_.counts(endpoint, monotonicNow());
+        Log::write(Log::Level::Info,
+                   "crash-checked",
+                   {{"run", runId},
+                    {"endpoint", endpoint.id.value()},
+                    {"listener", std::string(listenerName(listener))},
+                    {"openConnections", std::to_string(counts.open)},
+                    {"lostConnections", std::to_string(counts.lost)},
+                    {"hasCrashed", hasCrashed ? "yes" : "no"}});
         metrics_.increment("lentillock_start_failures_total", {{"cause", hasCrashed ? "crash" : "other"}});
         if (hasCrashed) {
             attribution_.recordCrash(crash, monotonicNow());
--- a/src/gateway/promptpartguard.h
+++ b/src/gateway/promptpartguard.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "gateway/crashattribution.h"
 #include "gateway/crashconfirmation.h"
+#include "gateway/endpointconnectionpool.h"
 #include "gateway/endpointdirectory.h"
 
 #include <cstdint>
@@ -18,13 +19,13 @@
 {
 public:
     using Subscription = std::uint64_t;
+    using CrashCallback = std::function<void(bool hasCrashed)>;
 
-    PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, Duration initialBlockTime);
+    PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, const EndpointConnectionPool &connections, Duration initialBlockTime);
 
     /// Checks whether @p endpoint has crashed while the run @p runId of @p prompt was at the start of its response, and records it if so.
     /// Calls @p callback with the result.
-    void
-    confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashConfirmation::Callback callback);
+    void confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashCallback callback);
 
     /// Records that a run of @p prompt has produced its first event.
     void recordStart(const PromptIdentity &prompt, TimePoint now);
@@ -44,6 +45,7 @@
 
 private:
     Metrics &metrics_;
+    const EndpointConnectionPool &connections_;
     CrashAttribution attribution_;
     CrashConfirmation confirmation_;
     std::map<Subscription, std::function<void()>> subscribers_;
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -549,6 +549,9 @@
     const auto self = shared_from_this();
     attempt.hasPartialHead = failure == ExchangeFailure::BrokenInHead;
     const bool isBroken = failure == ExchangeFailure::Broken || failure == ExchangeFailure::BrokenInHead;
+    if (isBroken) {
+        context_.connectionPool.recordLoss(attempt.endpoint, monotonicNow());
+    }
     if (isBroken && attempt.endedAtStart()) {
         confirmCrash(attempt);
         return;
@@ -718,6 +721,7 @@
 void RequestExchange::logFailedAttempt(const EndpointAttempt &attempt, AttemptOutcome outcome, bool isRetried, TimePoint now)
 {
     context_.metrics.increment("lentillock_send_failures_total", {{"outcome", std::string(outcomeName(outcome))}});
+    const EndpointConnectionCounts connections = context_.connectionPool.counts(attempt.endpoint, now);
     Log::write(Log::Level::Info,
                outcome == AttemptOutcome::TimedOut ? "attempt-silent" : "attempt-failed",
                {{"request", caller_.id.value()},
@@ -726,6 +730,8 @@
                 {"outcome", std::string(outcomeName(outcome))},
                 {"status", std::to_string(attempt.head.status)},
                 {"partialHead", attempt.hasPartialHead ? "yes" : "no"},
+                {"openConnections", std::to_string(connections.open)},
+                {"lostConnections", std::to_string(connections.lost)},
                 {"endpointAtFault", attempt.response.endpointAtFault},
                 {"afterMs", integerText(inMilliseconds(now - attempt.startedAt))},
                 {"events", std::to_string(stream_.eventCount())},
