CrashAttribution: Count runs that waited as evidence

Cause: evidence was only a run of which a part of the response had arrived. A process that ends with the head in its buffers shows the caller the same as one that ends while the request waits. Class of fault: a decision hangs on one observation that the failing process has to provide.

Change: each run that a crash of its endpoint ends before the first event is evidence, also one of which nothing has arrived; it weighs three fifths of one at the start of its response, so five crashes are needed instead of three. The bound of false blocks is w^5 for a probability w of at most 1/6 that a sound run is lost while it waits (before: q^3 for q of at most 1/20, which stays). The runs that one crash has ended count together: they have one cause, and what a block explains is no evidence against the others. Parts that fewer of the runs contain are blocked first, and runs that waited are judged after 200 ms, when all VMs have reported theirs. A request is not sent again after two crashes, as before, nor if two crashes already implicate its parts. Endpoints that leave are excepted.

New tests in CrashAttributionTest, FalseBlockTest.RunsWaitWhenEndpointsCrash_SoundPart_IsRarelyBlocked, CrashAttributionAgreementTest.HalfOfTheRunsWait_AllVms_AgreeOnBlocks.

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -1,5 +1,7 @@
 #include "gateway/crashattribution.h"
 
+#include "gateway/crashexplanations.h"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -20,10 +22,14 @@
 constexpr Duration MinCrashIntervalOfBlock = MinCrashInterval / 2;
 constexpr Duration MinPromptCrashIntervalOfBlock = MinPromptCrashInterval / 2;
 
+/// Runs that waited are evidence against parts only after this time, in which all VMs have told what the crash has ended: what the victims have in common
+/// must not be blamed before the run that explains more is known. Allows for the repetition of a lost report.
+constexpr Duration ReportTime = 200ms;
+
 /// After this time without an outcome, for example because the caller has left, another request may be tried.
 constexpr Duration TrialTimeout = 30s;
 
-/// Crashes of which all parts have proved sound are sent for this time, so that all VMs learn it, and know the prompt.
+/// Crashes that are no evidence, or not yet, are sent for this time, so that all VMs learn it, and know the prompt.
 constexpr Duration SoundCrashSendTime = 5s;
 
 using Crashes = std::vector<const StartCrash *>;
@@ -37,19 +43,43 @@
     return endpoints.size();
 }
 
-/// Divides @p crashes, which are in the order of their times, into incidents that are at least @p interval apart.
+/// Divides @p crashes, which are in the order of their times, into incidents that are at least @p interval apart. Runs that one crash of an endpoint has
+/// ended are in the same incident.
 std::vector<Crashes> incidentsOf(const Crashes &crashes, Duration interval)
 {
+    struct EndpointCrash {
+        TimePoint at{};
+        std::size_t incident = 0;
+    };
     std::vector<Crashes> incidents;
+    std::map<std::uint64_t, EndpointCrash> lastCrashes; // By endpoint.
     for (const StartCrash *crash : crashes) {
+        const auto last = lastCrashes.find(crash->endpoint);
+        if (last != lastCrashes.end() && crash->at - last->second.at <= detail::SameCrashTime) {
+            incidents[last->second.incident].push_back(crash);
+            continue;
+        }
         if (incidents.empty() || crash->at - incidents.back().front()->at >= interval) {
             incidents.emplace_back();
         }
         incidents.back().push_back(crash);
+        lastCrashes[crash->endpoint] = {.at = crash->at, .incident = incidents.size() - 1};
     }
     return incidents;
 }
 
+/// Sum of the largest weights of each of @p incidents.
+std::size_t weightOf(const std::vector<Crashes> &incidents)
+{
+    std::size_t weight = 0;
+    for (const Crashes &incident : incidents) {
+        const bool hasResponse
+            = std::any_of(incident.begin(), incident.end(), [](const StartCrash *crash) { return crash->stage == CrashedRunStage::ResponseStart; });
+        weight += hasResponse ? ResponseStartWeight : WaitingWeight;
+    }
+    return weight;
+}
+
 /// Whether runs of one prompt were among the crashes of all @p incidents, so that this prompt alone explains them.
 bool haveCommonPrompt(const std::vector<Crashes> &incidents)
 {
@@ -65,7 +95,7 @@
 bool areSufficient(const Crashes &crashes, Duration interval)
 {
     const std::vector<Crashes> incidents = incidentsOf(crashes, interval);
-    return incidents.size() >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints && !haveCommonPrompt(incidents);
+    return weightOf(incidents) >= BlockingWeight && endpointCount(crashes) >= MinCrashedEndpoints && !haveCommonPrompt(incidents);
 }
 
 /// Whether @p crashes, which are in the order of their times and of runs with one prompt, show that this prompt crashes endpoints. Requests without shared
@@ -75,8 +105,8 @@
     if (crashes.empty() || endpointCount(crashes) < MinCrashedEndpoints) {
         return false;
     }
-    const std::size_t neededCrashes = crashes.front()->parts.empty() ? BlockingCrashes : PromptBlockingCrashes;
-    return incidentsOf(crashes, interval).size() >= neededCrashes;
+    const std::size_t neededWeight = crashes.front()->parts.empty() ? BlockingWeight : PromptBlockingWeight;
+    return weightOf(incidentsOf(crashes, interval)) >= neededWeight;
 }
 
 bool isEarlier(const StartCrash *left, const StartCrash *right)
@@ -93,6 +123,22 @@
     return result;
 }
 
+bool containsAll(const PromptParts &known, const PromptParts &parts)
+{
+    return std::all_of(parts.begin(), parts.end(), [&known](const PromptPartId &part) { return std::find(known.begin(), known.end(), part) != known.end(); });
+}
+
+bool isReported(const StartCrash &crash, TimePoint now)
+{
+    return crash.stage != CrashedRunStage::Waiting || now - crash.at >= ReportTime;
+}
+
+/// Those of @p crashes of which all VMs have told what they have ended.
+Crashes reported(const Crashes &crashes, TimePoint now)
+{
+    return filtered(crashes, [now](const StartCrash *crash) { return isReported(*crash, now); });
+}
+
 /// Whether normal starts that are known now leave too little evidence for @p block among @p matching, the crashes of requests that it concerns, in the
 /// order of their times. Returns the time of the last of these crashes that such a start followed.
 std::optional<TimePoint> refutation(const PromptPartBlock &block, const Crashes &matching)
@@ -164,11 +210,12 @@
 
 bool PromptPartBlock::matches(const PromptIdentity &prompt) const
 {
-    if (isForWholePrompt()) {
-        return prompt.hash == promptHash;
-    }
-    const PromptParts &known = prompt.parts;
-    return std::all_of(parts.begin(), parts.end(), [&known](const PromptPartId &part) { return std::find(known.begin(), known.end(), part) != known.end(); });
+    return isForWholePrompt() ? prompt.hash == promptHash : containsAll(prompt.parts, parts);
+}
+
+bool PromptPartBlock::matches(const StartCrash &crash) const
+{
+    return isForWholePrompt() ? crash.promptHash == promptHash : containsAll(crash.parts, parts);
 }
 
 bool PromptPartBlock::hasSameSubject(const PromptPartBlock &other) const
@@ -196,7 +243,7 @@
     addCrash(crash);
     hasUnsentEvidence_ = true;
     for (PromptPartBlock &block : blocks_) {
-        if (block.isInForce() && block.matches(crash.prompt()) && now >= block.until) {
+        if (block.isInForce() && block.matches(crash) && now >= block.until) {
             prolong(block, now);
         }
     }
@@ -257,8 +304,9 @@
 
 bool CrashAttribution::isSuspected(const PromptIdentity &prompt) const
 {
-    return std::any_of(prompt.parts.begin(), prompt.parts.end(), [this](const PromptPartId &part) {
-        const Crashes crashes = evidenceAgainst(part);
+    const detail::CrashExplanations explained = explanations();
+    return std::any_of(prompt.parts.begin(), prompt.parts.end(), [this, &explained](const PromptPartId &part) {
+        const Crashes crashes = evidenceAgainst(part, explained);
         return incidentsOf(crashes, MinCrashInterval).size() + 1 >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
     });
 }
@@ -297,9 +345,13 @@
 CrashAttributionUpdate CrashAttribution::update(TimePoint now) const
 {
     CrashAttributionUpdate result;
+    const std::map<PromptPartId, std::size_t> counts = implicationCounts();
     for (const auto &[run, evidence] : crashes_) {
         const StartCrash &crash = evidence.crash;
-        const bool isSuspicious = std::any_of(crash.parts.begin(), crash.parts.end(), [&crash](const PromptPartId &part) { return crash.implicates(part); });
+        // Most waiting runs are victims, whose parts no other crash implicates. They are sent once.
+        const std::size_t neededCount = crash.stage == CrashedRunStage::Waiting ? 2 : 1;
+        const bool isSuspicious = std::any_of(
+            crash.parts.begin(), crash.parts.end(), [&](const PromptPartId &part) { return crash.implicates(part) && counts.at(part) >= neededCount; });
         if (isSuspicious || now - crash.at < SoundCrashSendTime) {
             result.crashes.push_back(crash);
         }
@@ -343,6 +395,9 @@
     // A released block is kept for a while, so that VMs that have not heard of the release do not bring it back.
     std::erase_if(blocks_, [now](const PromptPartBlock &block) { return now - std::max(block.since, block.until) > CrashRetention; });
     std::erase_if(trials_, [now](const auto &trial) { return now - trial.second > TrialTimeout; });
+    if (hasUnreportedRuns_) {
+        evaluate(now);
+    }
 }
 
 const std::vector<PromptPartBlock> &CrashAttribution::blocks() const
@@ -435,7 +490,7 @@
 {
     PromptPartBlockChange change{.block = block};
     for (const auto &[run, evidence] : crashes_) {
-        if (block.matches(evidence.crash.prompt())) {
+        if (block.matches(evidence.crash)) {
             change.crashes.push_back(evidence.crash);
         }
     }
@@ -471,6 +526,7 @@
     releaseRefutedBlocks();
     evaluatePrompts(now);
     evaluateParts(now);
+    hasUnreportedRuns_ = std::any_of(crashes_.begin(), crashes_.end(), [now](const auto &entry) { return !isReported(entry.second.crash, now); });
 }
 
 void CrashAttribution::evaluatePrompts(TimePoint now)
@@ -493,25 +549,66 @@
 
 void CrashAttribution::evaluateParts(TimePoint now)
 {
-    std::map<PromptPartId, std::size_t> crashCounts;
-    for (const auto &[run, evidence] : crashes_) {
-        for (const PromptPartId &part : evidence.crash.parts) {
-            crashCounts[part] += evidence.crash.implicates(part) ? 1 : 0;
+    detail::CrashExplanations explained = explanations();
+    for (const PromptPartId &part : suspectedParts(explained, now)) {
+        // The blocks added so far may explain what seemed to be evidence against this part.
+        const Crashes evidence = reported(evidenceAgainst(part, explained), now);
+        if (!areSufficient(evidence, MinCrashInterval)) {
+            continue;
+        }
+        const PromptParts parts = commonParts(evidence);
+        if (!isBlocked(parts)) {
+            const PromptPartBlock block{.parts = parts, .revision = 1, .since = now, .until = now + initialBlockTime_};
+            addBlock(block);
+            explained.add(block);
         }
     }
-    for (const auto &[part, count] : crashCounts) {
+}
+
+PromptParts CrashAttribution::suspectedParts(const detail::CrashExplanations &explanations, TimePoint now) const
+{
+    std::vector<std::pair<double, PromptPartId>> suspects; // With the number of runs for each incident.
+    for (const auto &[part, count] : implicationCounts()) {
         if (count < BlockingCrashes) {
             continue;
         }
-        const Crashes evidence = evidenceAgainst(part);
-        if (!areSufficient(evidence, MinCrashInterval)) {
-            continue;
+        const Crashes evidence = reported(evidenceAgainst(part, explanations), now);
+        if (areSufficient(evidence, MinCrashInterval)) {
+            suspects.emplace_back(static_cast<double>(evidence.size()) / static_cast<double>(incidentsOf(evidence, MinCrashInterval).size()), part);
         }
-        const PromptParts parts = commonParts(evidence);
-        if (!isBlocked(parts)) {
-            addBlock({.parts = parts, .revision = 1, .since = now, .until = now + initialBlockTime_});
+    }
+    std::sort(suspects.begin(), suspects.end());
+    PromptParts parts;
+    for (const auto &[runs, part] : suspects) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+std::map<PromptPartId, std::size_t> CrashAttribution::implicationCounts() const
+{
+    std::map<PromptPartId, std::size_t> counts;
+    for (const auto &[run, evidence] : crashes_) {
+        for (const PromptPartId &part : evidence.crash.parts) {
+            counts[part] += evidence.crash.implicates(part) ? 1 : 0;
         }
     }
+    return counts;
+}
+
+detail::CrashExplanations CrashAttribution::explanations() const
+{
+    Crashes crashes;
+    for (const auto &[run, evidence] : crashes_) {
+        crashes.push_back(&evidence.crash);
+    }
+    detail::CrashExplanations result(std::move(crashes));
+    for (const PromptPartBlock &block : blocks_) {
+        if (block.isInForce()) {
+            result.add(block);
+        }
+    }
+    return result;
 }
 
 void CrashAttribution::releaseRefutedBlocks()
@@ -522,7 +619,7 @@
         }
         Crashes matching;
         for (const auto &[run, evidence] : crashes_) {
-            if (block.matches(evidence.crash.prompt())) {
+            if (block.matches(evidence.crash)) {
                 matching.push_back(&evidence.crash);
             }
         }
@@ -533,21 +630,12 @@
     }
 }
 
-CrashAttribution::Crashes CrashAttribution::evidenceAgainst(const PromptPartId &part) const
+CrashAttribution::Crashes CrashAttribution::evidenceAgainst(const PromptPartId &part, const detail::CrashExplanations &explanations) const
 {
     Crashes result;
     for (const auto &[run, evidence] : crashes_) {
-        const StartCrash &crash = evidence.crash;
-        if (!crash.implicates(part)) {
-            continue;
-        }
-        const bool isExplained = std::any_of(blocks_.begin(), blocks_.end(), [&crash, &part](const PromptPartBlock &block) {
-            // Several blocked prompts may have a part in common that explains them all.
-            return block.isInForce() && !block.isForWholePrompt() && block.matches(crash.prompt())
-                && std::find(block.parts.begin(), block.parts.end(), part) == block.parts.end();
-        });
-        if (!isExplained) {
-            result.push_back(&crash);
+        if (evidence.crash.implicates(part) && !explanations.isExplained(run, part)) {
+            result.push_back(&evidence.crash);
         }
     }
     std::sort(result.begin(), result.end(), isEarlier);
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -13,7 +13,18 @@
 namespace Lentillock
 {
 
-/// A run whose endpoint crashed after the head of the response and before its first event.
+/// How far a run had come when its endpoint crashed.
+enum class CrashedRunStage : std::uint8_t {
+    ResponseStart, ///< A part of the response had arrived, and no event.
+    Waiting, ///< Nothing had arrived. The run was waiting behind others, or what the endpoint had begun to write has not left its process.
+};
+
+namespace detail
+{
+class CrashExplanations;
+}
+
+/// A run whose endpoint crashed before its first event.
 struct StartCrash {
     std::uint64_t run = 0; ///< Identifies the run in the fleet.
     std::uint64_t endpoint = 0; ///< Hash of the endpoint ID.
@@ -22,6 +33,7 @@
     std::uint16_t soundParts = 0; ///< Bit n is set if another run with part n has produced an event since.
     std::uint64_t promptHash = 0; ///< See PromptIdentity.
     bool isPromptSound = false; ///< Another run with the same prompt has produced an event since.
+    CrashedRunStage stage = CrashedRunStage::ResponseStart;
 
     auto operator<=>(const StartCrash &) const = default;
 
@@ -43,7 +55,9 @@
 
     [[nodiscard]] bool isInForce() const;
     [[nodiscard]] bool isForWholePrompt() const;
+    /// Whether the block concerns requests with this prompt.
     [[nodiscard]] bool matches(const PromptIdentity &prompt) const;
+    [[nodiscard]] bool matches(const StartCrash &crash) const;
     /// Whether both blocks concern the same requests.
     [[nodiscard]] bool hasSameSubject(const PromptPartBlock &other) const;
 };
@@ -79,8 +93,8 @@
     auto operator<=>(const PromptPartDecision &) const = default;
 };
 
-/// Number of crashes after which parts are blocked. The crashes must be at least MinCrashInterval apart, because crashes at the same time have a
-/// common cause, and must be on at least MinCrashedEndpoints endpoints.
+/// Number of crashes of runs at the start of their responses after which parts are blocked. The crashes must be at least MinCrashInterval apart, because
+/// crashes at the same time have a common cause, and must be on at least MinCrashedEndpoints endpoints.
 inline constexpr std::size_t BlockingCrashes = 3;
 inline constexpr Duration MinCrashInterval = 200ms;
 inline constexpr std::size_t MinCrashedEndpoints = 2;
@@ -88,6 +102,13 @@
 /// Number of crashes after which one prompt is blocked. Fewer than for parts, since a false block concerns only repetitions of that request.
 inline constexpr std::size_t PromptBlockingCrashes = 2;
 
+/// Weights of a crash as evidence, by the stage of the run. A sound run is more often waiting than at the start of its response when its endpoint crashes.
+/// The weights are proportional to the logarithms of the greatest probabilities that docs/decisions/011 assumes for this, 1/20 and 1/6.
+inline constexpr std::size_t ResponseStartWeight = 5;
+inline constexpr std::size_t WaitingWeight = 3;
+inline constexpr std::size_t BlockingWeight = BlockingCrashes * ResponseStartWeight;
+inline constexpr std::size_t PromptBlockingWeight = PromptBlockingCrashes * ResponseStartWeight;
+
 /// Time for which a crash counts.
 inline constexpr Duration CrashRetention = 10min;
 
@@ -104,17 +125,19 @@
 /// Finds the prompts, and the parts of prompts, that crash endpoints, and blocks them. Does no I/O.
 ///
 /// A part that crashes endpoints crashes each one that begins to write a response to it. Evidence against a part are therefore the runs with it that
-/// ended with a crash at that moment, unless any run with the part has produced an event since; requests that were only waiting on the endpoint, or
-/// whose response had begun, are no evidence. The parts that all these runs have in common are blocked together, so that a part is not blocked
-/// because it always accompanies another one.
+/// ended with a crash before their first event, unless any run with the part has produced an event since. Runs at the start of their responses weigh more
+/// than those of which nothing had arrived, most of which were only waiting. The parts that all these runs have in common are blocked together, so that a
+/// part is not blocked because it always accompanies another one. A crash that a block explains is no evidence against the parts of the other runs that it
+/// ended.
 ///
 /// The narrowest explanation is preferred: a prompt that has crashed endpoints more than once is blocked as a whole, and its shared parts only if other
 /// prompts with them crash endpoints, too.
 ///
 /// All evidence merges by set union, so the VMs of a fleet come to the same verdict regardless of the order in which they learn of it.
 ///
-/// If each crash hits a run at the start of its response with a probability of at most q that does not depend on its parts, three given consecutive
-/// runs with a sound part lead to a block with a probability of at most q^3 (see docs/decisions/011-prompt-parts-that-crash-endpoints.md).
+/// If a run ends with a crash at the start of its response with a probability of at most q, and while it waits with a probability of at most w, neither of
+/// which depends on its parts, a sound part is blocked by three given consecutive runs with a probability of at most q^3, and by five with one of at most
+/// w^5 (see docs/decisions/011-prompt-parts-that-crash-endpoints.md).
 class CrashAttribution
 {
 public:
@@ -152,7 +175,7 @@
     /// Blocks that have changed since the last call.
     std::vector<PromptPartBlockChange> takeChanges();
 
-    /// Discards what is too old.
+    /// Discards what is too old, and judges evidence that other VMs have had time to add to. Called periodically.
     void expire(TimePoint now);
 
     [[nodiscard]] const std::vector<PromptPartBlock> &blocks() const;
@@ -185,9 +208,16 @@
     void releaseRefutedBlocks();
     void evaluatePrompts(TimePoint now);
     void evaluateParts(TimePoint now);
-
-    /// Crashes that are evidence against @p part, oldest first, without those that a block of other parts explains.
-    [[nodiscard]] Crashes evidenceAgainst(const PromptPartId &part) const;
+    /// The parts against which there is enough evidence. Those that the fewest runs of each incident contain, and that are the narrowest explanation, come
+    /// first.
+    [[nodiscard]] PromptParts suspectedParts(const detail::CrashExplanations &explanations, TimePoint now) const;
+
+    /// What the blocks in force explain.
+    [[nodiscard]] detail::CrashExplanations explanations() const;
+    /// Number of crashes that implicate each part.
+    [[nodiscard]] std::map<PromptPartId, std::size_t> implicationCounts() const;
+    /// Crashes that are evidence against @p part, oldest first, without those that a block of other parts or prompts explains.
+    [[nodiscard]] Crashes evidenceAgainst(const PromptPartId &part, const detail::CrashExplanations &explanations) const;
     [[nodiscard]] PromptPartBlock *findBlock(const PromptPartBlock &subject);
 
     Duration initialBlockTime_;
@@ -198,6 +228,7 @@
     detail::RecentStarts soundPrompts_;
     std::vector<PromptPartBlockChange> changes_;
     bool hasUnsentEvidence_ = false;
+    bool hasUnreportedRuns_ = false; ///< Other VMs may not have told yet which runs a crash has ended.
     std::map<PromptIdentity, std::uint32_t> unsentBlocks_; ///< Revisions of the blocks of this VM that it has neither sent nor received.
     bool hasOutdatedPeer_ = false; ///< Another VM has sent a block that has changed since.
 };
--- a/src/gateway/crashattributioncodec.cpp
+++ b/src/gateway/crashattributioncodec.cpp
@@ -18,7 +18,7 @@
 using detail::appendBytes;
 using detail::takeBytes;
 
-constexpr std::array<char, 4> Magic{'L', 'T', 'C', '2'};
+constexpr std::array<char, 4> Magic{'L', 'T', 'C', '3'};
 
 /// Limits a message to one datagram that is not fragmented.
 constexpr std::size_t MaxEntryBytes = 1200;
@@ -45,6 +45,7 @@
     boost::endian::little_uint16_buf_t soundParts;
     boost::endian::little_uint64_buf_t promptHash;
     boost::endian::little_uint8_buf_t isPromptSound;
+    boost::endian::little_uint8_buf_t stage;
 };
 
 struct WireBlock {
@@ -87,6 +88,7 @@
     wire.soundParts = crash.soundParts;
     wire.promptHash = crash.promptHash;
     wire.isPromptSound = crash.isPromptSound ? 1 : 0;
+    wire.stage = static_cast<std::uint8_t>(crash.stage);
     return encodeEntry(EntryType::Crash, wire, crash.parts);
 }
 
@@ -131,7 +133,8 @@
         crash.soundParts = wire.soundParts.value();
         crash.promptHash = wire.promptHash.value();
         crash.isPromptSound = wire.isPromptSound.value() != 0;
-        if (crash.prompt().isEmpty()) {
+        crash.stage = static_cast<CrashedRunStage>(wire.stage.value());
+        if (crash.prompt().isEmpty() || crash.stage > CrashedRunStage::Waiting) {
             return false;
         }
         update.crashes.push_back(std::move(crash));
--- a/src/gateway/endpointattempt.cpp
+++ b/src/gateway/endpointattempt.cpp
@@ -40,10 +40,13 @@
     }
 }
 
-bool EndpointAttempt::endedAtStart() const
+std::optional<CrashedRunStage> EndpointAttempt::stageBeforeFirstEvent() const
 {
     const bool isSuccess = head.status >= 200 && head.status < 300;
-    return hasPartialHead || (isSuccess && response.hasServerStamp && !hasEvent);
+    if (hasPartialHead || (isSuccess && response.hasServerStamp && !hasEvent)) {
+        return CrashedRunStage::ResponseStart;
+    }
+    return head.status == 0 ? std::optional(CrashedRunStage::Waiting) : std::nullopt;
 }
 
 }
--- a/src/gateway/endpointattempt.h
+++ b/src/gateway/endpointattempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crashattribution.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/fleetload.h"
@@ -9,6 +10,7 @@
 #include "gateway/wireprotocol.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,8 +31,8 @@
     /// Removes the prefill from the load, since the endpoint has begun to generate.
     void finishPrefill();
 
-    /// Whether the attempt ended at the start of its response, when a part of the prompt may have crashed the endpoint.
-    [[nodiscard]] bool endedAtStart() const;
+    /// How far the run had come, if a part of its prompt may have crashed the endpoint: it has lost its connection before its first event.
+    [[nodiscard]] std::optional<CrashedRunStage> stageBeforeFirstEvent() const;
 
     FleetLoad &fleetLoad;
     const int number; ///< Counts the attempts of the request from 1.
--- a/src/gateway/promptpartguard.cpp
+++ b/src/gateway/promptpartguard.cpp
@@ -62,15 +62,18 @@
 {
 }
 
-void PromptPartGuard::confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashCallback callback)
+void PromptPartGuard::confirmCrash(
+    const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, CrashedRunStage stage, TimePoint at, CrashCallback callback)
 {
-    const StartCrash crash{.run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = prompt.parts, .promptHash = prompt.hash};
+    const StartCrash crash{
+        .run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = prompt.parts, .promptHash = prompt.hash, .stage = stage};
     confirmation_.confirm(endpoint.address, [this, endpoint, runId, crash, callback = std::move(callback)](ListenerState listener) {
         const bool hasCrashed = listener == ListenerState::Closed;
         const EndpointConnectionCounts counts = connections_.counts(endpoint, monotonicNow());
         Log::write(Log::Level::Info,
                    "crash-checked",
                    {{"run", runId},
+                    {"stage", crash.stage == CrashedRunStage::Waiting ? "waiting" : "response-start"},
                     {"endpoint", endpoint.id.value()},
                     {"listener", std::string(listenerName(listener))},
                     {"openConnections", std::to_string(counts.open)},
@@ -127,6 +130,7 @@
 void PromptPartGuard::expire(TimePoint now)
 {
     attribution_.expire(now);
+    reportChanges(now);
     std::size_t inForce = 0;
     for (const PromptPartBlock &block : attribution_.blocks()) {
         inForce += block.isInForce() ? 1 : 0;
--- a/src/gateway/promptpartguard.h
+++ b/src/gateway/promptpartguard.h
@@ -23,9 +23,9 @@
 
     PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, const EndpointConnectionPool &connections, Duration initialBlockTime);
 
-    /// Checks whether @p endpoint has crashed while the run @p runId of @p prompt was at the start of its response, and records it if so.
-    /// Calls @p callback with the result.
-    void confirmCrash(const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, TimePoint at, CrashCallback callback);
+    /// Checks whether @p endpoint has crashed while the run @p runId of @p prompt was at @p stage, and records it if so. Calls @p callback with the result.
+    void confirmCrash(
+        const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, CrashedRunStage stage, TimePoint at, CrashCallback callback);
 
     /// Records that a run of @p prompt has produced its first event.
     void recordStart(const PromptIdentity &prompt, TimePoint now);
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -499,10 +499,10 @@
     attempt.connection.reset();
     if (attempt.isRelayed) {
         const bool endsWithConnection = !hasField(attempt.head, "Content-Length") && !hasField(attempt.head, "Transfer-Encoding");
-        if (endsWithConnection && attempt.endedAtStart()) {
+        if (endsWithConnection && attempt.stageBeforeFirstEvent()) {
             // The same bytes arrive if there are no events left to send and if the endpoint crashes.
             attempt.hasEnded = true;
-            confirmCrash(attempt);
+            confirmCrash(attempt, CrashedRunStage::ResponseStart);
             return;
         }
         finishStream(attempt, now);
@@ -552,15 +552,38 @@
     if (isBroken) {
         context_.connectionPool.recordLoss(attempt.endpoint, monotonicNow());
     }
-    if (isBroken && attempt.endedAtStart()) {
-        confirmCrash(attempt);
+    if (const auto stage = isBroken ? attempt.stageBeforeFirstEvent() : std::nullopt) {
+        onLostBeforeFirstEvent(attempt, *stage);
         return;
     }
     const bool notConnected = failure == ExchangeFailure::NotConnected;
     failAttempt(attempt, notConnected ? AttemptOutcome::NotConnected : AttemptOutcome::Incomplete, !notConnected);
 }
 
-void RequestExchange::confirmCrash(EndpointAttempt &attempt)
+void RequestExchange::onLostBeforeFirstEvent(EndpointAttempt &attempt, CrashedRunStage stage)
+{
+    PromptPartGuard &guard = context_.promptPartGuard;
+    const EndpointRecord *record = context_.directory.find(attempt.endpoint.id);
+    const bool isLeaving = record == nullptr || record->isDraining || context_.directory.hasSaidLeaving(attempt.endpoint);
+    if (stage == CrashedRunStage::Waiting && isLeaving) {
+        failAttempt(attempt, AttemptOutcome::Incomplete, true);
+        return;
+    }
+    const bool mayHaveCrashed = isTrial_ || startCrashes_ > 0 || guard.attribution().isSuspected(prompt_);
+    if (stage == CrashedRunStage::ResponseStart || mayHaveCrashed) {
+        confirmCrash(attempt, stage);
+        return;
+    }
+    // Most runs of which nothing has arrived are victims of another one, so the request is sent again at once.
+    guard.confirmCrash(attempt.endpoint, runId(attempt), prompt_, stage, monotonicNow(), [weakSelf = weak_from_this()](bool hasCrashed) {
+        if (const auto self = weakSelf.lock()) {
+            self->startCrashes_ += hasCrashed ? 1 : 0;
+        }
+    });
+    failAttempt(attempt, AttemptOutcome::Incomplete, true);
+}
+
+void RequestExchange::confirmCrash(EndpointAttempt &attempt, CrashedRunStage stage)
 {
     if (&attempt == attempt_.get()) {
         context_.timers.cancel(inactivityTimer_);
@@ -569,7 +592,7 @@
     // The deadline may come before the result.
     retryState_.mayHaveRun = true;
     context_.promptPartGuard.confirmCrash(
-        attempt.endpoint, runId(attempt), prompt_, monotonicNow(), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
+        attempt.endpoint, runId(attempt), prompt_, stage, monotonicNow(), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
             const auto self = weakSelf.lock();
             EndpointAttempt *attempt = self ? self->findAttempt(number) : nullptr;
             if (attempt == nullptr) {
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -72,8 +72,11 @@
     void relayEvents(EndpointAttempt &attempt, std::string_view bytes);
     void finishStream(EndpointAttempt &attempt, TimePoint now);
 
+    /// Handles the loss of an attempt that may have crashed its endpoint.
+    void onLostBeforeFirstEvent(EndpointAttempt &attempt, CrashedRunStage stage);
+
     /// Finds out whether the endpoint has crashed before the request is sent again.
-    void confirmCrash(EndpointAttempt &attempt);
+    void confirmCrash(EndpointAttempt &attempt, CrashedRunStage stage);
 
     /// Ends @p attempt. The request goes on with another one if there is one, or can be started; otherwise the caller gets an error.
     void failAttempt(EndpointAttempt &attempt, AttemptOutcome outcome, bool mayHaveRun);
@@ -133,7 +136,7 @@
     RelayedStream stream_;
     bool wasHeld_ = false;
     bool isTrial_ = false; ///< The request is sent although its parts are blocked, to find out whether they still crash endpoints.
-    int startCrashes_ = 0; ///< Attempts that ended with a crash of the endpoint at the start of the response.
+    int startCrashes_ = 0; ///< Attempts that ended with a crash of the endpoint before their first event.
     PromptPartGuard::Subscription blockSubscription_ = 0;
 };
 
--- a/tests/gateway/crashattributionexchangetest.cpp
+++ b/tests/gateway/crashattributionexchangetest.cpp
@@ -194,7 +194,7 @@
 {
 protected:
     /// Plays the history of @p seed. Returns the prompts on which VMs disagree VerdictTime after its end.
-    std::vector<std::string> playHistory(unsigned seed)
+    std::vector<std::string> playHistory(unsigned seed, bool hasWaitingRuns = false)
     {
         LoadExchangeSimulation fleet({.vmCount = GetParam(), .zoneCount = ZoneCount, .lossRate = 0.03, .seed = seed});
         fleet.startAll();
@@ -206,7 +206,8 @@
             if (draw(3) == 0) {
                 fleet.startRun(draw(GetParam()), prompt);
             } else {
-                fleet.crash(draw(GetParam()), draw(8), prompt);
+                const auto stage = hasWaitingRuns && draw(2) == 0 ? CrashedRunStage::Waiting : CrashedRunStage::ResponseStart;
+                fleet.crash(draw(GetParam()), draw(8), prompt, stage);
             }
             fleet.run(milliseconds(draw(200)));
         }
@@ -236,6 +237,14 @@
     }
 }
 
+TEST_P(CrashAttributionAgreementTest, HalfOfTheRunsWait_AllVms_AgreeOnBlocks)
+{
+    const unsigned histories = GetParam() < 16 ? 200 : 700 / static_cast<unsigned>(GetParam());
+    for (unsigned seed = 1; seed <= histories; ++seed) {
+        EXPECT_EQ(playHistory(seed, true), std::vector<std::string>()) << "seed " << seed;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(FleetSizes, CrashAttributionAgreementTest, testing::Values(7, 70, 195));
 
 class LargeFleetCrashAttributionExchangeTest : public CrashAttributionExchangeTest
--- a/tests/gateway/crashattributiontest.cpp
+++ b/tests/gateway/crashattributiontest.cpp
@@ -42,6 +42,22 @@
         }
     }
 
+    /// Crashes of @p endpoint while runs with @p prompts wait, of which nothing has arrived.
+    void crashWhileWaiting(const std::vector<PromptParts> &prompts, std::uint64_t endpoint, Duration after = 300ms)
+    {
+        now_ += after;
+        for (const PromptParts &parts : prompts) {
+            attribution_.recordCrash({.run = ++runs_, .endpoint = endpoint, .at = now_, .parts = parts, .stage = CrashedRunStage::Waiting}, now_);
+        }
+    }
+
+    /// Lets the time pass in which other VMs tell what a crash has ended.
+    void waitForReports()
+    {
+        now_ += 250ms;
+        attribution_.expire(now_);
+    }
+
     void start(const PromptParts &parts)
     {
         now_ += 10ms;
@@ -214,6 +230,109 @@
     EXPECT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
 }
 
+// Guards against endpoints that crash before the first byte of the response has left.
+TEST_F(CrashAttributionTest, NothingHasArrivedInFiveCrashes_CommonPart_IsBlocked_Alone)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 4; ++endpoint) {
+        crashWhileWaiting({{Shared, Crashing}, {Shared, {endpoint + 100}}}, endpoint);
+        waitForReports();
+        expectSent({Crashing});
+    }
+    start({Shared});
+    crashWhileWaiting({{Shared, Crashing}}, 5);
+    expectSent({Crashing});
+    waitForReports();
+    expectRejected({Shared, Crashing});
+    expectSent({Shared});
+    expectSent({Shared, {101}});
+}
+
+// Guards against blocking what all suspects have in common, if fewer of them explain the crashes as well.
+TEST_F(CrashAttributionTest, SharedPartIsInAllWaitingRuns_NarrowerPart_IsBlocked_Alone)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint) {
+        crashWhileWaiting({{Shared, {endpoint + 100}}, {Shared, Crashing}, {Shared, {endpoint + 200}}}, endpoint);
+    }
+    waitForReports();
+    expectRejected({Shared, Crashing});
+    expectSent({Shared});
+    expectSent({Shared, {101}});
+}
+
+TEST_F(CrashAttributionTest, WaitingRunsAndResponseStarts_AreAddedUp)
+{
+    crash({Crashing}, 1);
+    crashWhileWaiting({{Crashing}}, 2);
+    crash({Crashing}, 3);
+    waitForReports();
+    expectSent({Crashing});
+    crashWhileWaiting({{Crashing}}, 4);
+    waitForReports();
+    expectRejected({Crashing});
+}
+
+TEST_F(CrashAttributionTest, PartStartsWhileEndpointsCrash_VictimsThatWaited_AreNotBlocked)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 20; ++endpoint) {
+        crashWhileWaiting({{Shared}, {Shared, Other}}, endpoint);
+        if (endpoint % 4 == 0) {
+            start({Shared, Other});
+        }
+        waitForReports();
+    }
+    expectSent({Shared});
+    expectSent({Shared, Other});
+}
+
+// Guards against a rack that loses power: all requests that waited on its endpoints are victims.
+TEST_F(CrashAttributionTest, RackCrashesFourTimes_PartsThatWaited_AreNotBlocked)
+{
+    for (int crashes = 0; crashes < 4; ++crashes) {
+        now_ += 1s;
+        for (std::uint64_t endpoint = 1; endpoint <= 10; ++endpoint) {
+            crashWhileWaiting({{Shared}, {Shared, Other}, {Crashing}}, endpoint, 10ms);
+        }
+        waitForReports();
+    }
+    expectSent({Shared});
+    expectSent({Shared, Other});
+    expectSent({Crashing});
+}
+
+// An endpoint that ends slowly loses the runs that it has accepted since only when its listener is closed.
+TEST_F(CrashAttributionTest, EndpointLosesRunsTwiceInOneCrash_CountsOnce)
+{
+    for (std::uint64_t endpoint = 1; endpoint <= 4; ++endpoint) {
+        crashWhileWaiting({{Crashing}}, endpoint);
+        crashWhileWaiting({{Crashing}}, endpoint, 500ms);
+    }
+    waitForReports();
+    expectSent({Crashing});
+}
+
+TEST_F(CrashAttributionTest, BlockExplainsCrash_OtherRunsOfThisCrash_AreNoEvidence)
+{
+    crashThreeTimes({Crashing});
+    for (std::uint64_t endpoint = 11; endpoint <= 20; ++endpoint) {
+        crashWhileWaiting({{Shared, Crashing}, {Shared, Other}}, endpoint);
+    }
+    waitForReports();
+    expectRejected({Crashing});
+    expectSent({Shared});
+    expectSent({Shared, Other});
+}
+
+TEST_F(CrashAttributionTest, VictimsThatWaited_AreSentOnce_UntilOtherCrashesImplicateTheirParts)
+{
+    crashWhileWaiting({{Shared}, {Other}}, 1);
+    EXPECT_EQ(attribution_.update(now_).crashes.size(), 2U);
+    now_ += 10s;
+    EXPECT_TRUE(attribution_.update(now_).isEmpty());
+    crashWhileWaiting({{Other}}, 2);
+    now_ += 10s;
+    EXPECT_EQ(attribution_.update(now_).crashes.size(), 2U);
+}
+
 TEST_F(CrashAttributionTest, EvidenceIsOld_IsForgotten)
 {
     crash({Crashing}, 1);
@@ -370,29 +489,31 @@
 {
 protected:
     static constexpr int RunsPerPart = 3;
+    static constexpr int WaitingRunsPerPart = 5;
 
-    /// Whether RunsPerPart consecutive runs with a sound part block it, if each is lost at the start of its response with probability @p startShare.
-    bool isBlocked(std::mt19937 &random, double startShare)
+    /// Whether @p runs consecutive runs with a sound part block it, if each is lost at @p stage with probability @p share.
+    static bool isBlocked(std::mt19937 &random, double share, CrashedRunStage stage, int runs)
     {
         CrashAttribution attribution(InitialBlockTime);
         TimePoint now(1000s);
-        for (int run = 0; run < RunsPerPart; ++run) {
+        for (int run = 0; run < runs; ++run) {
             now += 1s;
-            if (std::uniform_real_distribution<>()(random) < startShare) {
-                attribution.recordCrash({.run = random(), .endpoint = random(), .at = now, .parts = {Shared}}, now);
+            if (std::uniform_real_distribution<>()(random) < share) {
+                attribution.recordCrash({.run = random(), .endpoint = random(), .at = now, .parts = {Shared}, .stage = stage}, now);
             } else {
                 attribution.recordStart({Shared}, now);
             }
         }
+        attribution.expire(now + 1s);
         return attribution.isBlocked({Shared});
     }
 
-    int countBlocks(int trials, double startShare)
+    int countBlocks(int trials, double share, CrashedRunStage stage = CrashedRunStage::ResponseStart, int runs = RunsPerPart)
     {
         std::mt19937 random(20261205);
         int blocked = 0;
         for (int trial = 0; trial < trials; ++trial) {
-            blocked += isBlocked(random, startShare) ? 1 : 0;
+            blocked += isBlocked(random, share, stage, runs) ? 1 : 0;
         }
         RecordProperty("blocked", blocked);
         return blocked;
@@ -412,6 +533,12 @@
     EXPECT_LE(countBlocks(50'000, 0.1), 79);
 }
 
+// The bound is w^5 for w = 1/6, so 26 blocks are expected in 200,000 trials; 47 is four standard deviations above.
+TEST_F(FalseBlockTest, RunsWaitWhenEndpointsCrash_SoundPart_IsRarelyBlocked)
+{
+    EXPECT_LE(countBlocks(200'000, 1.0 / 6, CrashedRunStage::Waiting, WaitingRunsPerPart), 47);
+}
+
 // Two consecutive runs of a sound prompt block it with a probability of at most q^2; 100 blocks are expected in 40,000 trials, 140 is four standard
 // deviations above.
 TEST_F(FalseBlockTest, CrashesAreIndependentOfPrompts_SoundPrompt_IsRarelyBlocked)
@@ -445,6 +572,7 @@
                 {.run = run, .endpoint = run * 7, .at = now - run * 1ms, .parts = {Shared, {run}}, .soundParts = 1, .promptHash = run + 1});
         }
         update.crashes.push_back({.run = 1000, .endpoint = 7, .at = now, .promptHash = 9, .isPromptSound = true});
+        update.crashes.push_back({.run = 1001, .endpoint = 7, .at = now, .parts = {Shared}, .stage = CrashedRunStage::Waiting});
         update.blocks.push_back({.promptHash = 9, .revision = 1, .since = now - 5s, .until = now + 55s});
         update.blocks.push_back({.parts = {Crashing}, .revision = 3, .since = now - 5s, .until = now + 55s, .failedTrials = 1});
         return update;
@@ -483,7 +611,7 @@
 RC_GTEST_FIXTURE_PROP(CrashAttributionCodecTest, Datagram_IsAnyBytes_DoesNotThrow, (const std::string &bytes))
 {
     decodeCrashAttribution(bytes, now_);
-    decodeCrashAttribution("LTC2" + bytes, now_);
+    decodeCrashAttribution("LTC3" + bytes, now_);
 }
 
 }
--- a/tests/gateway/loadexchangesimulation.cpp
+++ b/tests/gateway/loadexchangesimulation.cpp
@@ -110,6 +110,7 @@
                 for (const Vm &vm : vms_) {
                     if (vm.load && !vm.isPaused) {
                         vm.load->expirePeers(now_);
+                        vm.attribution->expire(now_);
                     }
                 }
             }
@@ -136,9 +137,10 @@
     takeDue(vm);
 }
 
-void LoadExchangeSimulation::crash(std::size_t vm, std::size_t endpoint, const PromptIdentity &prompt)
+void LoadExchangeSimulation::crash(std::size_t vm, std::size_t endpoint, const PromptIdentity &prompt, CrashedRunStage stage)
 {
-    attribution(vm).recordCrash({.run = ++crashCount_, .endpoint = endpoint, .at = now_, .parts = prompt.parts, .promptHash = prompt.hash}, now_);
+    attribution(vm).recordCrash({.run = ++crashCount_, .endpoint = endpoint, .at = now_, .parts = prompt.parts, .promptHash = prompt.hash, .stage = stage},
+                                now_);
     takeDue(vm);
 }
 
--- a/tests/gateway/loadexchangesimulation.h
+++ b/tests/gateway/loadexchangesimulation.h
@@ -50,7 +50,7 @@
     void end(std::size_t vm, FleetLoad::Ticket ticket);
 
     /// A run of @p prompt on @p vm ends with a crash of @p endpoint.
-    void crash(std::size_t vm, std::size_t endpoint, const PromptIdentity &prompt);
+    void crash(std::size_t vm, std::size_t endpoint, const PromptIdentity &prompt, CrashedRunStage stage = CrashedRunStage::ResponseStart);
     /// A run of @p prompt on @p vm produces its first event.
     void startRun(std::size_t vm, const PromptIdentity &prompt);
 
