PromptPartGuard: Infer crashes from more than refused connections

Cause: a crash counted only if the address refused a connection right after the loss of the run. A parent process that holds the listener, or a process that ends slowly, accepts connections, and the run was forgotten as one of a reset.

Change: a lost run that is not confirmed is remembered for 10 s (256 at most) and becomes evidence if its endpoint is gone: the address refuses a later connection or another endpoint answers there (421), its entry is removed or is that of a later start, or another VM knows a crash of it within 0.6 s of the loss. A crash is also confirmed at once if this VM has lost two or more connections to the endpoint within 250 ms and has none left that is older. An endpoint that resets single connections, one that does not answer, and one that leaves as planned give no evidence. A trial that is lost before its first event is not sent again, whatever the check says.

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -250,6 +250,14 @@
     evaluate(now);
 }
 
+bool CrashAttribution::hasCrashOf(std::uint64_t endpoint, TimePoint at) const
+{
+    return std::any_of(crashes_.begin(), crashes_.end(), [endpoint, at](const auto &entry) {
+        const StartCrash &crash = entry.second.crash;
+        return crash.endpoint == endpoint && std::chrono::abs(crash.at - at) <= detail::SameCrashTime;
+    });
+}
+
 void CrashAttribution::recordStart(const PromptIdentity &prompt, TimePoint now)
 {
     for (const PromptPartId &part : prompt.parts) {
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -147,6 +147,9 @@
     /// Records a confirmed crash that ended a run of this VM.
     void recordCrash(const StartCrash &crash, TimePoint now);
 
+    /// Whether a crash of the endpoint with the hash @p endpoint is known that can have ended a run at @p at.
+    [[nodiscard]] bool hasCrashOf(std::uint64_t endpoint, TimePoint at) const;
+
     /// Records that a run of @p prompt has produced its first event.
     void recordStart(const PromptIdentity &prompt, TimePoint now);
 
--- a/src/gateway/endpointconnectionpool.cpp
+++ b/src/gateway/endpointconnectionpool.cpp
@@ -50,6 +50,11 @@
     return std::min(MaxIdleConnections, static_cast<std::size_t>(share));
 }
 
+bool EndpointConnectionCounts::areAllLost() const
+{
+    return lost >= 2 && open == 0;
+}
+
 EndpointConnectionPool::EndpointConnectionPool(boost::asio::io_context &context)
     : context_(context)
 {
@@ -116,13 +121,17 @@
     if (found == histories_.end()) {
         return counts;
     }
-    const History &history = found->second;
-    for (const std::weak_ptr<HttpClientConnection> &weak : history.connections) {
+    TimePoint firstLoss = now;
+    for (const TimePoint at : found->second.losses) {
+        if (now - at <= ConnectionLossWindow) {
+            firstLoss = std::min(firstLoss, at);
+            ++counts.lost;
+        }
+    }
+    for (const std::weak_ptr<HttpClientConnection> &weak : found->second.connections) {
         const auto connection = weak.lock();
-        counts.open += connection && connection->isOpen() ? 1 : 0;
+        counts.open += connection && connection->isOpenSince(firstLoss) ? 1 : 0;
     }
-    counts.lost = static_cast<std::size_t>(
-        std::count_if(history.losses.begin(), history.losses.end(), [now](TimePoint at) { return now - at <= ConnectionLossWindow; }));
     return counts;
 }
 
--- a/src/gateway/endpointconnectionpool.h
+++ b/src/gateway/endpointconnectionpool.h
@@ -24,10 +24,13 @@
 
 /// Connections of this VM to one incarnation of an endpoint.
 struct EndpointConnectionCounts {
-    std::size_t open = 0;
+    std::size_t open = 0; ///< Without those that have been established since the first of the lost ones was lost.
     std::size_t lost = 0; ///< Closed by the endpoint within the last ConnectionLossWindow, before their time.
 
     auto operator<=>(const EndpointConnectionCounts &) const = default;
+
+    /// Whether the endpoint has closed several connections and all of them, as it does when its process ends.
+    [[nodiscard]] bool areAllLost() const;
 };
 
 /// Connections that an endpoint loses within this time are lost at one moment. Allows for one retransmission between availability zones.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -126,6 +126,7 @@
 void Gateway::onEndpointsChanged(TimePoint now)
 {
     context_.connectionPool.prune(context_.directory, now);
+    context_.promptPartGuard.onEndpointsChanged(context_.directory, now);
     for (const EndpointId &id : context_.directory.takeRestartedOrRemoved()) {
         context_.health.forget(id);
         context_.loggedRetryDelays.erase(id);
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -112,9 +112,9 @@
     return connected_;
 }
 
-bool HttpClientConnection::isOpen() const
+bool HttpClientConnection::isOpenSince(TimePoint time) const
 {
-    return connected_ && !closed_;
+    return connected_ && !closed_ && connectedAt_ < time;
 }
 
 bool HttpClientConnection::wasExpectedOpen(TimePoint now) const
@@ -141,10 +141,11 @@
         }
         self->connectTimer_.cancel();
         if (error) {
-            self->fail(ExchangeFailure::NotConnected);
+            self->fail(error == boost::asio::error::connection_refused ? ExchangeFailure::Refused : ExchangeFailure::NotConnected);
             return;
         }
         self->connected_ = true;
+        self->connectedAt_ = monotonicNow();
         setKeepAliveOptions(self->socket_);
         self->read();
         self->write();
--- a/src/gateway/httpclientconnection.h
+++ b/src/gateway/httpclientconnection.h
@@ -17,6 +17,7 @@
 /// Why an exchange failed to produce a complete response.
 enum class ExchangeFailure {
     NotConnected, ///< The connection could not be established; no byte of the request was sent.
+    Refused, ///< As NotConnected, because nothing listens at the address.
     Broken, ///< The connection was closed or reset, or the peer stopped acknowledging data.
     BrokenInHead, ///< As Broken, when a part of the head of the response had arrived.
     Malformed, ///< The received bytes are not a valid HTTP response, or exceed a limit.
@@ -59,8 +60,8 @@
     /// Whether another exchange may start on this connection.
     [[nodiscard]] bool isReusable(TimePoint now) const;
     [[nodiscard]] bool hasConnected() const;
-    /// Whether the connection has been established and neither side has closed it.
-    [[nodiscard]] bool isOpen() const;
+    /// Whether the connection was established before @p time and neither side has closed it.
+    [[nodiscard]] bool isOpenSince(TimePoint time) const;
 
     /// Whether the server has stated that it keeps the connection open until after @p now.
     [[nodiscard]] bool wasExpectedOpen(TimePoint now) const;
@@ -94,6 +95,7 @@
     bool headHandled_ = false;
     bool skippingResponse_ = false;
     int ignoredResponses_ = 0; ///< Interim and skipped responses of this exchange.
+    TimePoint connectedAt_{};
     TimePoint reusableUntil_{};
 };
 
--- a/src/gateway/promptpartguard.cpp
+++ b/src/gateway/promptpartguard.cpp
@@ -12,6 +12,18 @@
 namespace
 {
 
+/// Time for which the list of endpoints, a refused connection or another VM may show that an endpoint has crashed. Entries of endpoints lapse after three
+/// missed heartbeats, and endpoints that return are listed within seconds.
+constexpr Duration UnconfirmedRunRetention = 10s;
+
+/// The oldest are forgotten first.
+constexpr std::size_t MaxUnconfirmedRuns = 256;
+
+std::string_view stageName(CrashedRunStage stage)
+{
+    return stage == CrashedRunStage::Waiting ? "waiting" : "response-start";
+}
+
 std::string wholeMilliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
@@ -62,32 +74,84 @@
 {
 }
 
-void PromptPartGuard::confirmCrash(
-    const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, CrashedRunStage stage, TimePoint at, CrashCallback callback)
+void PromptPartGuard::confirmCrash(const LostRun &run, CrashCallback callback)
 {
-    const StartCrash crash{
-        .run = stableHash(runId), .endpoint = stableHash(endpoint.id.value()), .at = at, .parts = prompt.parts, .promptHash = prompt.hash, .stage = stage};
-    confirmation_.confirm(endpoint.address, [this, endpoint, runId, crash, callback = std::move(callback)](ListenerState listener) {
-        const bool hasCrashed = listener == ListenerState::Closed;
-        const EndpointConnectionCounts counts = connections_.counts(endpoint, monotonicNow());
+    confirmation_.confirm(run.endpoint.address, [this, run, callback = std::move(callback)](ListenerState listener) {
+        const TimePoint now = monotonicNow();
+        const EndpointConnectionCounts counts = connections_.counts(run.endpoint, now);
+        const bool hasCrashed = listener == ListenerState::Closed || (!run.isEndpointLeaving && counts.areAllLost());
         Log::write(Log::Level::Info,
                    "crash-checked",
-                   {{"run", runId},
-                    {"stage", crash.stage == CrashedRunStage::Waiting ? "waiting" : "response-start"},
-                    {"endpoint", endpoint.id.value()},
+                   {{"run", run.id},
+                    {"stage", std::string(stageName(run.stage))},
+                    {"endpoint", run.endpoint.id.value()},
                     {"listener", std::string(listenerName(listener))},
                     {"openConnections", std::to_string(counts.open)},
                     {"lostConnections", std::to_string(counts.lost)},
                     {"hasCrashed", hasCrashed ? "yes" : "no"}});
         metrics_.increment("lentillock_start_failures_total", {{"cause", hasCrashed ? "crash" : "other"}});
         if (hasCrashed) {
-            attribution_.recordCrash(crash, monotonicNow());
+            recordCrash(run, now);
+        } else if (!run.isEndpointLeaving) {
+            unconfirmedRuns_.push_back(run);
+            if (unconfirmedRuns_.size() > MaxUnconfirmedRuns) {
+                unconfirmedRuns_.pop_front();
+            }
         }
         callback(hasCrashed);
-        reportChanges(monotonicNow());
+        reportChanges(now);
     });
 }
 
+void PromptPartGuard::onEndpointGone(const EndpointRecord &endpoint, TimePoint now)
+{
+    recordUnconfirmed([&endpoint](const LostRun &run) { return run.endpoint.isSameIncarnation(endpoint); }, "gone", now);
+}
+
+void PromptPartGuard::onEndpointsChanged(const EndpointDirectory &directory, TimePoint now)
+{
+    const auto isEnded = [&directory](const LostRun &run) {
+        const EndpointRecord *record = directory.find(run.endpoint.id);
+        return record == nullptr || !record->isSameIncarnation(run.endpoint);
+    };
+    recordUnconfirmed(isEnded, "list", now);
+}
+
+void PromptPartGuard::recordUnconfirmed(const std::function<bool(const LostRun &)> &isEnded, std::string_view evidence, TimePoint now)
+{
+    bool hasRecorded = false;
+    std::erase_if(unconfirmedRuns_, [&](const LostRun &run) {
+        if (!isEnded(run)) {
+            return false;
+        }
+        Log::write(Log::Level::Info,
+                   "crash-inferred",
+                   {{"run", run.id},
+                    {"stage", std::string(stageName(run.stage))},
+                    {"endpoint", run.endpoint.id.value()},
+                    {"evidence", std::string(evidence)},
+                    {"ageMs", wholeMilliseconds(now - run.at)}});
+        metrics_.increment("lentillock_start_failures_total", {{"cause", "inferred-crash"}});
+        recordCrash(run, now);
+        hasRecorded = true;
+        return true;
+    });
+    if (hasRecorded) {
+        reportChanges(now);
+    }
+}
+
+void PromptPartGuard::recordCrash(const LostRun &run, TimePoint now)
+{
+    attribution_.recordCrash({.run = stableHash(run.id),
+                              .endpoint = stableHash(run.endpoint.id.value()),
+                              .at = run.at,
+                              .parts = run.prompt.parts,
+                              .promptHash = run.prompt.hash,
+                              .stage = run.stage},
+                             now);
+}
+
 void PromptPartGuard::recordStart(const PromptIdentity &prompt, TimePoint now)
 {
     attribution_.recordStart(prompt, now);
@@ -129,6 +193,8 @@
 
 void PromptPartGuard::expire(TimePoint now)
 {
+    std::erase_if(unconfirmedRuns_, [now](const LostRun &run) { return now - run.at > UnconfirmedRunRetention; });
+    recordUnconfirmed([this](const LostRun &run) { return attribution_.hasCrashOf(stableHash(run.endpoint.id.value()), run.at); }, "fleet", now);
     attribution_.expire(now);
     reportChanges(now);
     std::size_t inForce = 0;
--- a/src/gateway/promptpartguard.h
+++ b/src/gateway/promptpartguard.h
@@ -7,13 +7,27 @@
 #include "gateway/endpointdirectory.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace Lentillock
 {
 
+/// A run whose connection the endpoint has closed before its first event.
+struct LostRun {
+    EndpointRecord endpoint;
+    std::string id; ///< Identifies the run in the fleet.
+    PromptIdentity prompt;
+    CrashedRunStage stage = CrashedRunStage::ResponseStart;
+    TimePoint at{};
+    bool isEndpointLeaving = false; ///< The end of the endpoint is planned, so that its removal from the list shows no crash.
+
+    auto operator<=>(const LostRun &) const = default;
+};
+
 /// Connects the crash attribution with the requests of this VM: confirms crashes, logs and counts blocks, and tells requests in progress of them.
 class PromptPartGuard
 {
@@ -23,9 +37,14 @@
 
     PromptPartGuard(boost::asio::io_context &context, Metrics &metrics, const EndpointConnectionPool &connections, Duration initialBlockTime);
 
-    /// Checks whether @p endpoint has crashed while the run @p runId of @p prompt was at @p stage, and records it if so. Calls @p callback with the result.
-    void confirmCrash(
-        const EndpointRecord &endpoint, const std::string &runId, const PromptIdentity &prompt, CrashedRunStage stage, TimePoint at, CrashCallback callback);
+    /// Checks whether the endpoint of @p run has crashed, and records it if so. Calls @p callback with the result. An endpoint of which this is not known yet
+    /// is remembered for some seconds, in which the methods below may show it.
+    void confirmCrash(const LostRun &run, CrashCallback callback);
+
+    /// Called when @p endpoint refuses connections, or another endpoint answers at its address.
+    void onEndpointGone(const EndpointRecord &endpoint, TimePoint now);
+    /// Called when the list of endpoints has changed.
+    void onEndpointsChanged(const EndpointDirectory &directory, TimePoint now);
 
     /// Records that a run of @p prompt has produced its first event.
     void recordStart(const PromptIdentity &prompt, TimePoint now);
@@ -44,12 +63,17 @@
     [[nodiscard]] const CrashAttribution &attribution() const;
 
 private:
+    void recordCrash(const LostRun &run, TimePoint now);
+    /// Records a crash for those of the unconfirmed runs for which @p isEnded is true. @p evidence is logged.
+    void recordUnconfirmed(const std::function<bool(const LostRun &)> &isEnded, std::string_view evidence, TimePoint now);
+
     Metrics &metrics_;
     const EndpointConnectionPool &connections_;
     CrashAttribution attribution_;
     CrashConfirmation confirmation_;
     std::map<Subscription, std::function<void()>> subscribers_;
     Subscription nextSubscription_ = 1;
+    std::deque<LostRun> unconfirmedRuns_; ///< Oldest first.
 };
 
 }
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -509,6 +509,9 @@
         return;
     }
     if (attempt.response.wasNotRun) {
+        if (attempt.response.isReplaced) {
+            context_.promptPartGuard.onEndpointGone(attempt.endpoint, now);
+        }
         failAttempt(attempt, attempt.response.isReplaced ? AttemptOutcome::Replaced : AttemptOutcome::NotRun, false);
         return;
     }
@@ -556,33 +559,49 @@
         onLostBeforeFirstEvent(attempt, *stage);
         return;
     }
-    const bool notConnected = failure == ExchangeFailure::NotConnected;
+    if (failure == ExchangeFailure::Refused) {
+        context_.promptPartGuard.onEndpointGone(attempt.endpoint, monotonicNow());
+    }
+    const bool notConnected = failure == ExchangeFailure::NotConnected || failure == ExchangeFailure::Refused;
     failAttempt(attempt, notConnected ? AttemptOutcome::NotConnected : AttemptOutcome::Incomplete, !notConnected);
 }
 
 void RequestExchange::onLostBeforeFirstEvent(EndpointAttempt &attempt, CrashedRunStage stage)
 {
     PromptPartGuard &guard = context_.promptPartGuard;
-    const EndpointRecord *record = context_.directory.find(attempt.endpoint.id);
-    const bool isLeaving = record == nullptr || record->isDraining || context_.directory.hasSaidLeaving(attempt.endpoint);
-    if (stage == CrashedRunStage::Waiting && isLeaving) {
-        failAttempt(attempt, AttemptOutcome::Incomplete, true);
-        return;
-    }
+    const bool isPlannedEnd = stage == CrashedRunStage::Waiting && isLeaving(attempt.endpoint);
     const bool mayHaveCrashed = isTrial_ || startCrashes_ > 0 || guard.attribution().isSuspected(prompt_);
-    if (stage == CrashedRunStage::ResponseStart || mayHaveCrashed) {
+    if (!isPlannedEnd && (stage == CrashedRunStage::ResponseStart || mayHaveCrashed)) {
         confirmCrash(attempt, stage);
         return;
     }
-    // Most runs of which nothing has arrived are victims of another one, so the request is sent again at once.
-    guard.confirmCrash(attempt.endpoint, runId(attempt), prompt_, stage, monotonicNow(), [weakSelf = weak_from_this()](bool hasCrashed) {
-        if (const auto self = weakSelf.lock()) {
-            self->startCrashes_ += hasCrashed ? 1 : 0;
-        }
-    });
+    if (!isPlannedEnd) {
+        // Most runs of which nothing has arrived are victims of another one, so the request is sent again at once.
+        guard.confirmCrash(lostRun(attempt, stage), [weakSelf = weak_from_this()](bool hasCrashed) {
+            if (const auto self = weakSelf.lock()) {
+                self->startCrashes_ += hasCrashed ? 1 : 0;
+            }
+        });
+    }
     failAttempt(attempt, AttemptOutcome::Incomplete, true);
 }
 
+bool RequestExchange::isLeaving(const EndpointRecord &endpoint) const
+{
+    const EndpointRecord *record = context_.directory.find(endpoint.id);
+    return record == nullptr || record->isDraining || context_.directory.hasSaidLeaving(endpoint);
+}
+
+LostRun RequestExchange::lostRun(const EndpointAttempt &attempt, CrashedRunStage stage) const
+{
+    return {.endpoint = attempt.endpoint,
+            .id = runId(attempt),
+            .prompt = prompt_,
+            .stage = stage,
+            .at = monotonicNow(),
+            .isEndpointLeaving = isLeaving(attempt.endpoint)};
+}
+
 void RequestExchange::confirmCrash(EndpointAttempt &attempt, CrashedRunStage stage)
 {
     if (&attempt == attempt_.get()) {
@@ -591,22 +610,21 @@
     attempt.connection.reset();
     // The deadline may come before the result.
     retryState_.mayHaveRun = true;
-    context_.promptPartGuard.confirmCrash(
-        attempt.endpoint, runId(attempt), prompt_, stage, monotonicNow(), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
-            const auto self = weakSelf.lock();
-            EndpointAttempt *attempt = self ? self->findAttempt(number) : nullptr;
-            if (attempt == nullptr) {
-                return;
-            }
-            if (!hasCrashed && attempt->hasEnded) {
-                self->finishStream(*attempt, monotonicNow());
-                return;
-            }
-            const CrashAttribution &attribution = self->context_.promptPartGuard.attribution();
-            self->isTrial_ = self->isTrial_ && !hasCrashed;
-            self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->prompt_));
-            self->failAttempt(*attempt, AttemptOutcome::Incomplete, true);
-        });
+    context_.promptPartGuard.confirmCrash(lostRun(attempt, stage), [weakSelf = weak_from_this(), number = attempt.number](bool hasCrashed) {
+        const auto self = weakSelf.lock();
+        EndpointAttempt *attempt = self ? self->findAttempt(number) : nullptr;
+        if (attempt == nullptr) {
+            return;
+        }
+        if (!hasCrashed && attempt->hasEnded) {
+            self->finishStream(*attempt, monotonicNow());
+            return;
+        }
+        const CrashAttribution &attribution = self->context_.promptPartGuard.attribution();
+        self->isTrial_ = false; // Its endpoint may have crashed in a way that shows only later.
+        self->retryState_.mayCrashEndpoint = hasCrashed && (self->startCrashes_++ > 0 || attribution.isSuspected(self->prompt_));
+        self->failAttempt(*attempt, AttemptOutcome::Incomplete, true);
+    });
 }
 
 std::string RequestExchange::runId(const EndpointAttempt &attempt) const
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -75,6 +75,10 @@
     /// Handles the loss of an attempt that may have crashed its endpoint.
     void onLostBeforeFirstEvent(EndpointAttempt &attempt, CrashedRunStage stage);
 
+    /// Whether the end of @p endpoint is planned, or it has been removed from the list.
+    [[nodiscard]] bool isLeaving(const EndpointRecord &endpoint) const;
+    [[nodiscard]] LostRun lostRun(const EndpointAttempt &attempt, CrashedRunStage stage) const;
+
     /// Finds out whether the endpoint has crashed before the request is sent again.
     void confirmCrash(EndpointAttempt &attempt, CrashedRunStage stage);
 
