--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -157,6 +157,7 @@
         self.version = 1
         self.endpoint_count = 0
         self.route_timeout_ms = int(ROUTE_TIMEOUT * 1000)
+        self.limits = {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         self.gateway_settings = {}
         self.recovery = {"asked": 0, "served": 0}
         self.recovery_started = False
@@ -172,7 +173,7 @@
         document = {
             "version": self.version, "routes": routes,
             "services": [{"name": "desk", "health_path": "/healthz", "max_connections": 200}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "limits": self.limits,
             "tenants": [{"name": "acme", "api_keys": ["key", f"other-{self.version}"], "priority": 1}],
         }
         self.store.put("keyed.op", "config", json.dumps(document).encode())
