CallerHttpConnection: Keep reading requests that come in pieces

Cause: the connection stopped reading whenever the parser held bytes that it had not used, such as the start of a chunk or of a field, and nobody but the pending read owned the connection. Change: it stops reading only while a request is in progress, and the gateway owns its connections until they are closed. What a caller sends after its request was rejected is discarded, not collected.

--- a/src/gateway/callerhttpconnection.cpp
+++ b/src/gateway/callerhttpconnection.cpp
@@ -87,15 +87,27 @@
             self->close();
             return;
         }
-        self->reader_.feed({self->buffer_.data(), size});
-        self->processInput();
-        // Keep reading during a request to detect that the caller disconnects, until bytes of a pipelined request have arrived.
-        if (!self->reader_.hasUnreadBytes()) {
-            self->read();
+        if (!self->isRejecting()) {
+            self->reader_.feed({self->buffer_.data(), size});
+            self->processInput();
         }
+        self->readIfNeeded();
     });
 }
 
+void CallerHttpConnection::readIfNeeded()
+{
+    // Keep reading during a request to detect that the caller disconnects, until bytes of a pipelined request have arrived.
+    if (!exchange_ || !reader_.hasUnreadBytes()) {
+        read();
+    }
+}
+
+bool CallerHttpConnection::isRejecting() const
+{
+    return closeAfterWrite_ || reader_.state() == HttpReadState::Malformed;
+}
+
 void CallerHttpConnection::processInput()
 {
     if (exchange_ || closeAfterWrite_ || closed_) {
@@ -224,7 +236,7 @@
         self->startIdleTimer();
         self->reader_.next();
         self->processInput();
-        self->read();
+        self->readIfNeeded();
     });
 }
 
--- a/src/gateway/callerhttpconnection.h
+++ b/src/gateway/callerhttpconnection.h
@@ -42,6 +42,9 @@
 
 private:
     void read();
+    void readIfNeeded();
+    /// Whether what the caller still sends is discarded, because its request has been rejected.
+    [[nodiscard]] bool isRejecting() const;
     void processInput();
     void startExchange();
     void rejectMalformed();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -251,10 +251,8 @@
 std::vector<std::shared_ptr<CallerHttpConnection>> Gateway::openConnections() const
 {
     std::vector<std::shared_ptr<CallerHttpConnection>> open;
-    for (const auto &[raw, weak] : callerConnections_) {
-        if (auto connection = weak.lock()) {
-            open.push_back(std::move(connection));
-        }
+    for (const auto &[raw, connection] : callerConnections_) {
+        open.push_back(connection);
     }
     return open;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,7 +69,7 @@
     RecentEndpointChanges recentEndpointChanges_;
     std::unique_ptr<OperatorServer> readinessServer_;
     std::unique_ptr<OperatorServer> metricsServer_;
-    std::map<CallerHttpConnection *, std::weak_ptr<CallerHttpConnection>> callerConnections_;
+    std::map<CallerHttpConnection *, std::shared_ptr<CallerHttpConnection>> callerConnections_;
     bool stopped_ = false;
 };
 
