CallerMemory: Bound the memory of requests and unread responses

What the users saw: a crowd of callers that do not behave ended a process, which ran out of memory. Here one gateway took 65.5 MiB for 60 bodies of 1 MiB that stop 7 bytes short, 132.8 for whole ones whose endpoints do not answer, 71.4 and 97.3 for chunked ones, and 131.8 (119.7 of them in the kernel) for 60 streams of 2 MiB that nobody reads.

Cause: each request was bounded, all of them together were not. The body of a running request was held twice, a chunked body took up to three times its size while it grew, the kernel's buffers of a connection grew to megabytes, and each connection had a buffer of 16 KiB for reading.

Change: CallerMemory counts what connections hold. Beyond callerMemoryMegabytes (64), those that hold most are evicted, of the connections whose request has not arrived whole (503 with Retry-After) or whose response is not read (closed); requests in progress are never evicted, and three quarters of the limit is the most that those with more than 64 KiB may use, so that ordinary requests are admitted beside them. The body is shared with the connection to the endpoint, a chunked body of more than 64 KiB reserves what it may need, freed blocks of 128 KiB and more return to the system, the buffers of the kernel are set to 64 KiB, and one buffer for reading serves all connections. A caller whose request is rejected has 0.5 s to read the response.

--- a/src/gateway/callerhttpconnection.cpp
+++ b/src/gateway/callerhttpconnection.cpp
@@ -13,6 +13,12 @@
 namespace
 {
 
+/// Seconds after which a caller is asked to retry whose request was not read whole because memory is used up.
+constexpr std::string_view EvictionRetryAfter = "1.00";
+
+/// Time for which a caller that is still sending can read the response to a rejected request before the connection is closed, which discards it.
+constexpr Duration LingerTime = 500ms;
+
 CallerLimits callerLimits(const GatewayContext &context)
 {
     return context.plan ? context.plan->limits() : CallerLimits();
@@ -44,6 +50,8 @@
 void CallerHttpConnection::start()
 {
     setKeepAliveOptions(socket_);
+    boost::system::error_code ignored; // Without it, a read waits until bytes arrive, which the wait before it has shown.
+    socket_.non_blocking(true, ignored);
     startIdleTimer();
     read();
 }
@@ -78,23 +86,33 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(boost::asio::buffer(buffer_), [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+    // Waits without a buffer, so that idle connections take no memory for one.
+    socket_.async_wait(boost::asio::socket_base::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
         self->reading_ = false;
-        if (self->closed_) {
-            return;
+        if (!self->closed_) {
+            self->receive(error);
         }
-        if (error) {
-            self->close();
-            return;
-        }
-        if (!self->isRejecting()) {
-            self->reader_.feed({self->buffer_.data(), size});
-            self->processInput();
-        }
-        self->readIfNeeded();
     });
 }
 
+void CallerHttpConnection::receive(boost::system::error_code error)
+{
+    std::size_t size = 0;
+    if (!error) {
+        size = socket_.read_some(boost::asio::buffer(context_.callerReadBuffer), error);
+    }
+    if (error && error != boost::asio::error::would_block) {
+        close();
+        return;
+    }
+    if (size > 0 && !isRejecting()) {
+        reader_.feed({context_.callerReadBuffer.data(), size});
+        processInput();
+        updateMemory();
+    }
+    readIfNeeded();
+}
+
 void CallerHttpConnection::readIfNeeded()
 {
     // Keep reading during a request to detect that the caller disconnects, until bytes of a pipelined request have arrived.
@@ -105,7 +123,7 @@
 
 bool CallerHttpConnection::isRejecting() const
 {
-    return closeAfterWrite_ || reader_.state() == HttpReadState::Malformed;
+    return closeAfterWrite_ || isEvicted_ || reader_.state() == HttpReadState::Malformed;
 }
 
 void CallerHttpConnection::processInput()
@@ -141,10 +159,56 @@
 {
     context_.timers.cancel(idleTimer_);
     requestKeepsAlive_ = reader_.head().keepAlive;
+    auto body = std::make_shared<const std::string>(reader_.takeBody());
+    requestBytes_ = body->size();
+    context_.callerMemory.remove(this);
+    const bool isAdmitted = context_.callerMemory.admits(requestBytes_);
+    if (!isAdmitted) {
+        context_.metrics.increment("lentillock_caller_memory_rejections_total");
+        body = std::make_shared<const std::string>();
+        requestBytes_ = 0;
+    }
     exchange_
-        = std::make_shared<RequestExchange>(context_, *this, CallerRequest{.head = reader_.head(), .body = reader_.takeBody(), .receivedAt = monotonicNow()});
+        = std::make_shared<RequestExchange>(context_, *this, CallerRequest{.head = reader_.head(), .body = std::move(body), .receivedAt = monotonicNow()});
     const auto exchange = exchange_;
-    exchange->start();
+    if (isAdmitted) {
+        exchange->start();
+    } else {
+        exchange->rejectForMemory();
+    }
+}
+
+void CallerHttpConnection::updateMemory()
+{
+    if (closed_) {
+        return;
+    }
+    std::size_t unsentBytes = writingBytes_;
+    for (const std::string &bytes : output_) {
+        unsentBytes += bytes.size();
+    }
+    const bool isEvictable = !exchange_ || unsentBytes > OrdinaryRequestBytes;
+    context_.callerMemory.update(
+        this, reader_.heldBytes() + requestBytes_ + unsentBytes, isEvictable ? CallerMemory::Evict([this] { evict(); }) : CallerMemory::Evict());
+    if (context_.callerMemory.mustEnforce()) {
+        // An exchange that is on the stack may be one of those that end.
+        boost::asio::post(socket_.get_executor(), [&memory = context_.callerMemory] { memory.enforce(); });
+    }
+}
+
+void CallerHttpConnection::evict()
+{
+    context_.metrics.increment("lentillock_callers_evicted_total", {{"cause", "memory"}});
+    if (exchange_ || writing_ || !output_.empty()) {
+        close();
+        return;
+    }
+    isEvicted_ = true;
+    reader_.discard();
+    requestKeepsAlive_ = false;
+    HttpHead head = headWithStatus(503);
+    head.fields.emplace_back("Retry-After", std::string(EvictionRetryAfter));
+    sendResponse(head, {});
 }
 
 void CallerHttpConnection::rejectMalformed()
@@ -226,6 +290,11 @@
             return;
         }
         self->exchange_.reset();
+        self->requestBytes_ = 0;
+        self->updateMemory();
+        if (self->closed_) {
+            return;
+        }
         if (!self->keepsAlive()) {
             self->closeAfterWrite_ = true;
             self->writeNext();
@@ -249,6 +318,7 @@
     if (!writing_) {
         writeNext();
     }
+    updateMemory();
 }
 
 void CallerHttpConnection::writeNext()
@@ -258,23 +328,43 @@
     }
     if (output_.empty()) {
         if (closeAfterWrite_) {
-            close();
+            closeAfterLingering();
         }
         return;
     }
     writing_ = true;
-    auto batch = std::make_shared<std::string>();
-    for (const std::string &bytes : output_) {
-        *batch += bytes;
+    auto batch = std::make_shared<std::string>(std::move(output_.front()));
+    output_.pop_front();
+    while (!output_.empty() && batch->size() < OrdinaryRequestBytes) {
+        *batch += output_.front();
+        output_.pop_front();
     }
-    output_.clear();
+    writingBytes_ = batch->size();
     boost::asio::async_write(socket_, boost::asio::buffer(*batch), [self = shared_from_this(), batch](const boost::system::error_code &error, std::size_t) {
         self->writing_ = false;
+        self->writingBytes_ = 0;
         if (error) {
             self->close();
             return;
         }
         self->writeNext();
+        self->updateMemory();
+    });
+}
+
+void CallerHttpConnection::closeAfterLingering()
+{
+    if (!isEvicted_ && reader_.state() != HttpReadState::Malformed) {
+        close();
+        return;
+    }
+    boost::system::error_code ignored; // The connection is closed in any case.
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    context_.timers.cancel(idleTimer_);
+    idleTimer_ = context_.timers.scheduleOnce(monotonicNow() + LingerTime, [weak = weak_from_this()](TimePoint) {
+        if (const auto self = weak.lock()) {
+            self->close();
+        }
     });
 }
 
@@ -297,6 +387,7 @@
         return;
     }
     context_.timers.cancel(idleTimer_);
+    context_.callerMemory.remove(this);
     boost::system::error_code ignored; // The connection is unusable afterwards either way.
     socket_.close(ignored);
     if (const auto exchange = std::exchange(exchange_, nullptr)) {
--- a/src/gateway/callerhttpconnection.h
+++ b/src/gateway/callerhttpconnection.h
@@ -7,10 +7,11 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace Lentillock
 {
@@ -42,6 +43,7 @@
 
 private:
     void read();
+    void receive(boost::system::error_code error);
     void readIfNeeded();
     /// Whether what the caller still sends is discarded, because its request has been rejected.
     [[nodiscard]] bool isRejecting() const;
@@ -51,6 +53,11 @@
     void onExchangeFinished();
     void write(std::string bytes);
     void writeNext();
+    /// Closes the connection. If the caller may still be sending a request that was rejected, it can read the response before.
+    void closeAfterLingering();
+    void updateMemory();
+    /// Frees the memory of a request that has not arrived whole, or of a response that is not read.
+    void evict();
     void startIdleTimer();
     void close();
     [[nodiscard]] std::string formatHead(const HttpHead &head) const;
@@ -60,7 +67,6 @@
     boost::asio::ip::tcp::socket socket_;
     std::function<void(CallerHttpConnection *)> onClosed_;
     HttpRequestReader reader_;
-    std::array<char, 16384> buffer_{};
     std::deque<std::string> output_;
     std::shared_ptr<RequestExchange> exchange_;
     TimerService::TimerId idleTimer_ = 0;
@@ -70,6 +76,9 @@
     bool closed_ = false;
     bool requestKeepsAlive_ = true;
     bool headTimerStarted_ = false;
+    bool isEvicted_ = false;
+    std::size_t requestBytes_ = 0; ///< Of the body of the request in progress.
+    std::size_t writingBytes_ = 0;
     bool continueSent_ = false; ///< "100 Continue" has been sent.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <cmath>
 #include <csignal>
@@ -27,6 +29,12 @@
 /// connections after two failed checks.
 constexpr Duration DrainAcceptTime = 3500ms;
 
+/// Blocks of this size and more are returned to the system when they are freed.
+constexpr int SeparateBlockBytes = 128 * 1024;
+
+/// Buffers of the kernel for one connection with a caller, which doubles the figure. Without a limit, callers that do not read take megabytes each.
+constexpr int CallerSocketBufferBytes = 64 * 1024;
+
 constexpr Duration DrainCheckInterval = 50ms;
 
 /// Fraction of the drain grace period after which the requests that are still in progress are ended.
@@ -52,6 +60,8 @@
 
 void Gateway::run()
 {
+    // By default, the allocator keeps larger and larger blocks that were freed, and reserved memory may consist of such blocks.
+    mallopt(M_MMAP_THRESHOLD, SeparateBlockBytes);
     listen();
     peers_.start();
     waitForSignal();
@@ -180,6 +190,9 @@
     const tcp::endpoint address = parseSocketAddress(context_.settings.callerAddress);
     acceptor_.open(address.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    // Inherited by accepted connections.
+    acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(CallerSocketBufferBytes));
+    acceptor_.set_option(boost::asio::socket_base::send_buffer_size(CallerSocketBufferBytes));
     acceptor_.bind(address);
     acceptor_.listen();
     accept();
@@ -282,6 +295,7 @@
     context_.fleetLoad.expirePeers(now);
     context_.promptPartGuard.expire(now);
     context_.metrics.setGauge("lentillock_caller_channels", static_cast<double>(callerConnections_.size()));
+    context_.metrics.setGauge("lentillock_caller_memory_bytes", static_cast<double>(context_.callerMemory.heldBytes()));
     context_.metrics.setGauge("lentillock_endpoint_channels_opened", static_cast<double>(context_.connectionPool.openedCount()));
     context_.metrics.setGauge("lentillock_stale_endpoint_records", static_cast<double>(context_.directory.staleRecordCount()));
     context_.metrics.setGauge("lentillock_log_lines_dropped", static_cast<double>(Log::droppedLines()));
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "base/timerservice.h"
+#include "gateway/callermemory.h"
 #include "gateway/endpointconnectionpool.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/endpointhealth.h"
@@ -15,6 +16,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <set>
@@ -33,6 +36,9 @@
 /// Time for which a VM waits for the changes of the endpoint list that the first reader of its group has read.
 inline constexpr Duration EndpointUpdateWait = 250ms;
 
+/// Bytes that are read from a caller at once.
+inline constexpr std::size_t CallerReadBytes = 16384;
+
 /// State that the parts of a gateway share. All of them run on one thread.
 struct GatewayContext {
     GatewayContext(boost::asio::io_context &ioContext, GatewaySettings gatewaySettings, const WireProtocol &wireProtocol)
@@ -41,6 +47,7 @@
         , wire(wireProtocol)
         , connectionPool(ioContext)
         , retryBudget(settings.retryBudget)
+        , callerMemory(settings.callerMemoryBytes)
         , promptPartGuard(ioContext, metrics, connectionPool, settings.promptBlockTime)
     {
     }
@@ -73,7 +80,9 @@
     FleetLoad fleetLoad;
     EndpointHealth health;
     FleetRetryBudget retryBudget;
+    CallerMemory callerMemory;
     PromptPartGuard promptPartGuard;
+    std::array<char, CallerReadBytes> callerReadBuffer{}; ///< One for all connections, because each empties it before the next one reads.
     std::set<EndpointId> loggedRetryDelays; ///< Endpoints whose Retry-After was not valid, each of which is logged once.
     std::function<void(const EndpointRecord &)> announceLeaving = [](const EndpointRecord &) {}; ///< Tells other VMs that an endpoint leaves.
     std::optional<TimePoint> drainingSince; ///< Time of the stop signal.
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -7,6 +7,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -23,6 +24,7 @@
     std::uint16_t peerPort = 0; ///< UDP port for load reports between VMs; the same on all VMs.
     std::uint16_t metricsPort = 0; ///< TCP port for metrics and the state dump.
     std::string storeAddress;
+    std::size_t callerMemoryBytes = 64ULL * 1024 * 1024; ///< For requests and unread responses of all callers.
     milliseconds drainGrace{8000}; ///< Time from the stop signal until the process is killed.
     FleetRetryBudgetSettings retryBudget;
     milliseconds promptBlockTime{60000}; ///< Time for which prompt parts that crash endpoints are blocked before a request is tried.
--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -70,9 +70,10 @@
 {
 }
 
-void HttpClientConnection::exchange(std::string request, Handlers handlers)
+void HttpClientConnection::exchange(std::string request, Handlers handlers, std::shared_ptr<const std::string> body)
 {
     request_ = std::move(request);
+    body_ = std::move(body);
     handlers_ = std::move(handlers);
     exchangeActive_ = true;
     headHandled_ = false;
@@ -155,9 +156,11 @@
 void HttpClientConnection::write()
 {
     writing_ = true;
-    boost::asio::async_write(socket_, boost::asio::buffer(request_), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+    const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(request_), body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
+    boost::asio::async_write(socket_, parts, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
         self->writing_ = false;
         self->request_.clear();
+        self->body_.reset();
         // After a failed write there may still be a response to read, for example if the server rejected the request before reading its body.
         if (error && !self->closed_ && !self->reading_) {
             self->fail(ExchangeFailure::Broken);
--- a/src/gateway/httpclientconnection.h
+++ b/src/gateway/httpclientconnection.h
@@ -51,8 +51,9 @@
                          Duration connectTimeout,
                          HttpReadLimits limits = DefaultResponseLimits);
 
-    /// Sends @p request, after connecting if necessary. Exactly one of onFinished and onFailed is called, unless close() is called first.
-    void exchange(std::string request, Handlers handlers);
+    /// Sends @p request, and @p body after it if there is one, after connecting if necessary. Exactly one of onFinished and onFailed is called, unless close()
+    /// is called first.
+    void exchange(std::string request, Handlers handlers, std::shared_ptr<const std::string> body = nullptr);
 
     /// Closes the connection. No handler is called afterwards.
     void close();
@@ -85,6 +86,7 @@
     HttpResponseReader reader_;
     std::array<char, 16384> buffer_{};
     std::string request_;
+    std::shared_ptr<const std::string> body_; ///< Shared with the owner of the request, who may send it again.
     Handlers handlers_;
     std::function<void()> idleCloseHandler_;
     bool connected_ = false;
--- a/src/gateway/httpreader.cpp
+++ b/src/gateway/httpreader.cpp
@@ -85,6 +85,19 @@
     return !pending_.empty();
 }
 
+template<bool IsRequest>
+std::size_t HttpReader<IsRequest>::heldBytes() const
+{
+    return parser_->body.size() + pending_.size();
+}
+
+template<bool IsRequest>
+void HttpReader<IsRequest>::discard()
+{
+    pending_ = {};
+    reset();
+}
+
 template<bool IsRequest>
 HttpReadState HttpReader<IsRequest>::next()
 {
@@ -100,6 +113,7 @@
     parser_->eager(true);
     parser_->header_limit(limits_.headBytes);
     parser_->body_limit(limits_.bodyBytes);
+    parser_->maxBodyBytes = static_cast<std::size_t>(limits_.bodyBytes);
     error_ = {};
     started_ = false;
 }
--- a/src/gateway/httpreader.h
+++ b/src/gateway/httpreader.h
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +25,10 @@
 namespace detail
 {
 
+/// Up to this size, the body of a message in chunks grows as it arrives. A larger one gets the most that it may need: a string that grows takes up to three
+/// times its size for a moment, while memory that was reserved is not in use before bytes arrive.
+inline constexpr std::size_t MaxGrowingBytes = 64 * 1024;
+
 /// Stores the parts of one message as Boost.Beast's incremental parser reports them.
 template<bool IsRequest>
 class HttpCollector : public boost::beast::http::basic_parser<IsRequest>
@@ -30,6 +36,7 @@
 public:
     HttpHead head;
     std::string body;
+    std::size_t maxBodyBytes = 0;
 
 private:
     using Text = boost::beast::string_view;
@@ -56,8 +63,11 @@
     {
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, ErrorCode & /*error*/) override
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, ErrorCode & /*error*/) override
     {
+        if (length) {
+            body.reserve(static_cast<std::size_t>(*length));
+        }
     }
 
     std::size_t on_body_impl(Text data, ErrorCode & /*error*/) override
@@ -72,6 +82,9 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, Text data, ErrorCode & /*error*/) override
     {
+        if (body.size() + data.size() > std::max(body.capacity(), MaxGrowingBytes)) {
+            body.reserve(maxBodyBytes);
+        }
         body.append(data.data(), data.size());
         return data.size();
     }
@@ -117,6 +130,12 @@
 
     [[nodiscard]] bool hasUnreadBytes() const;
 
+    /// Number of bytes of the body and of what follows it that have arrived and were not taken.
+    [[nodiscard]] std::size_t heldBytes() const;
+
+    /// Frees what has arrived. The reader cannot be used afterwards.
+    void discard();
+
     /// Discards the finished message and parses the bytes that followed it.
     HttpReadState next();
 
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -57,6 +57,9 @@
 /// Delay after which a rejected caller is asked to retry, unless a longer one is estimated.
 constexpr milliseconds DefaultRetryAfter{300};
 
+/// Delay after which a caller is asked to retry if memory is used up: other callers have to finish, or to be turned away, first.
+constexpr milliseconds MemoryRetryAfter{1000};
+
 /// Responses of endpoints with this status and above report a failure.
 constexpr unsigned FirstServerFailureStatus = 500;
 
@@ -83,7 +86,7 @@
 /// Equal for requests that ask for the same, whoever sends them.
 std::uint64_t requestHash(const CallerRequest &request)
 {
-    return stableHash(request.body, stableHash(request.head.method + ' ' + request.head.target));
+    return stableHash(*request.body, stableHash(request.head.method + ' ' + request.head.target));
 }
 
 std::string_view outcomeName(AttemptOutcome outcome)
@@ -132,6 +135,15 @@
     admitWhenReady(monotonicNow());
 }
 
+void RequestExchange::rejectForMemory()
+{
+    context_.metrics.increment("lentillock_requests_total");
+    sendErrorResponse(503,
+                      "overloaded",
+                      "the requests in progress take all memory of this VM",
+                      cappedRetryAfter(MemoryRetryAfter, caller_.timeLeft.value_or(DefaultTimeout)));
+}
+
 void RequestExchange::admitWhenReady(TimePoint now)
 {
     if (finished_) {
@@ -409,7 +421,7 @@
     attempt_->connection = context_.connectionPool.acquire(attempt_->endpoint, reuse, now);
     attempt_->isSent = true;
     const HttpClientConnectionPointer connection = attempt_->connection;
-    connection->exchange(context_.wire.endpointRequest(request_.head, request_.body, options), responseHandlers(attempt_->number));
+    connection->exchange(context_.wire.endpointRequestHead(request_.head, request_.body->size(), options), responseHandlers(attempt_->number), request_.body);
     startInactivityTimer(now);
     // Two endpoints should not process the same prompt for long, because it may crash both. A stream that has begun has shown that its prompt is sound.
     if (!silentAttempts_.empty() && !retryState_.responseStarted) {
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -21,7 +21,7 @@
 /// A completely received request.
 struct CallerRequest {
     HttpHead head;
-    std::string body;
+    std::shared_ptr<const std::string> body; ///< Never null.
     TimePoint receivedAt;
 };
 
@@ -37,6 +37,9 @@
 
     void start();
 
+    /// Rejects the request, instead of start(), because this VM has no memory for it.
+    void rejectForMemory();
+
     /// Called when this VM stops before the request has ended. The caller gets an error response, unless its response has begun.
     void onVmStopping();
 
--- a/src/gateway/wireprotocol.h
+++ b/src/gateway/wireprotocol.h
@@ -77,8 +77,8 @@
     [[nodiscard]] virtual CallerHead callerHead(const HttpHead &head) const = 0;
     [[nodiscard]] virtual ResponseHead responseHead(const HttpHead &head) const = 0;
 
-    /// Serializes the request to an endpoint, head and body.
-    [[nodiscard]] virtual std::string endpointRequest(const HttpHead &head, const std::string &body, const EndpointRequestOptions &options) const = 0;
+    /// Serializes the head of the request to an endpoint, whose body has @p bodyBytes.
+    [[nodiscard]] virtual std::string endpointRequestHead(const HttpHead &head, std::size_t bodyBytes, const EndpointRequestOptions &options) const = 0;
 
     [[nodiscard]] virtual std::string reserveRequest(const std::string &address, const ReservationRequest &request) const = 0;
     [[nodiscard]] virtual std::string releaseRequest(const std::string &address, const std::string &reservation) const = 0;
