Gateway: Bound the connections of callers

What callers saw: with 250 connections of callers that send a part of a head, and 180 descriptors for the process, nobody was answered any more.

Cause: connections were accepted until the descriptors were used up; then accepting failed again and again at once, which took the processor, and there was no descriptor left for endpoints and the store. The connections of the crowd ended only at their timeouts.

Change: beyond callerConnections (2000), the connection that has waited longest for bytes of its caller is closed, unless its request is in progress. If accepting fails, it is tried again after 50 ms.

--- a/src/gateway/callerhttpconnection.cpp
+++ b/src/gateway/callerhttpconnection.cpp
@@ -52,6 +52,7 @@
     setKeepAliveOptions(socket_);
     boost::system::error_code ignored; // Without it, a read waits until bytes arrive, which the wait before it has shown.
     socket_.non_blocking(true, ignored);
+    lastReceivedAt_ = monotonicNow();
     startIdleTimer();
     read();
 }
@@ -75,6 +76,11 @@
     }
 }
 
+std::optional<TimePoint> CallerHttpConnection::waitingSince() const
+{
+    return exchange_ || writing_ ? std::nullopt : std::optional(lastReceivedAt_);
+}
+
 bool CallerHttpConnection::isIdle() const
 {
     return !exchange_ && !writing_ && reader_.state() == HttpReadState::Start;
@@ -106,6 +112,7 @@
         return;
     }
     if (size > 0 && !isRejecting()) {
+        lastReceivedAt_ = monotonicNow();
         reader_.feed({context_.callerReadBuffer.data(), size});
         processInput();
         updateMemory();
--- a/src/gateway/callerhttpconnection.h
+++ b/src/gateway/callerhttpconnection.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Lentillock
@@ -35,6 +36,9 @@
 
     [[nodiscard]] bool isIdle() const;
 
+    /// Since when the connection has been waiting for bytes of the caller; std::nullopt while a request is in progress or a response is being written.
+    [[nodiscard]] std::optional<TimePoint> waitingSince() const;
+
     void sendResponse(const HttpHead &head, std::string body) override;
     void startStream(const HttpHead &head) override;
     void writeStream(std::string bytes) override;
@@ -79,6 +83,7 @@
     bool isEvicted_ = false;
     std::size_t requestBytes_ = 0; ///< Of the body of the request in progress.
     std::size_t writingBytes_ = 0;
+    TimePoint lastReceivedAt_{};
     bool continueSent_ = false; ///< "100 Continue" has been sent.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 /// Blocks of this size and more are returned to the system when they are freed.
 constexpr int SeparateBlockBytes = 128 * 1024;
 
+constexpr Duration AcceptRetryDelay = 50ms;
+
 /// Buffers of the kernel for one connection with a caller, which doubles the figure. Without a limit, callers that do not read take megabytes each.
 constexpr int CallerSocketBufferBytes = 64 * 1024;
 
@@ -205,21 +207,47 @@
 void Gateway::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
+        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (error) {
+            // Descriptors are used up; at once, the same would happen again.
+            context_.metrics.increment("lentillock_accept_failures_total");
+            context_.timers.scheduleOnce(monotonicNow() + AcceptRetryDelay, [this](TimePoint) { accept(); });
             return;
         }
-        if (!error) {
+        if (makeRoomForConnection()) {
             const auto connection = std::make_shared<CallerHttpConnection>(
                 context_, std::move(socket), [this](CallerHttpConnection *closed) { callerConnections_.erase(closed); });
             callerConnections_.emplace(connection.get(), connection);
             connection->start();
-        } else {
-            context_.metrics.increment("lentillock_accept_failures_total");
         }
         accept();
     });
 }
 
+bool Gateway::makeRoomForConnection()
+{
+    if (callerConnections_.size() < context_.settings.callerConnections) {
+        return true;
+    }
+    std::shared_ptr<CallerHttpConnection> oldest;
+    std::optional<TimePoint> oldestSince;
+    for (const auto &[raw, connection] : callerConnections_) {
+        const std::optional<TimePoint> since = connection->waitingSince();
+        if (since && (!oldestSince || *since < *oldestSince)) {
+            oldest = connection;
+            oldestSince = since;
+        }
+    }
+    context_.metrics.increment("lentillock_callers_evicted_total", {{"cause", oldest ? "connections" : "new-connection"}});
+    if (!oldest) {
+        return false;
+    }
+    oldest->closeNow();
+    return true;
+}
+
 void Gateway::waitForSignal()
 {
     signals_.async_wait([this](const boost::system::error_code &error, int signal) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,8 @@
 private:
     void listen();
     void accept();
+    /// Closes the connection that has been waiting longest if there are too many. Returns whether another one may be opened.
+    [[nodiscard]] bool makeRoomForConnection();
     void waitForSignal();
     void beginDrain(TimePoint now);
     void closeIdleConnections();
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,7 @@
     {"peerPort", "port", 7340, 1, MaxPort, "UDP port for load reports between VMs; the same on all VMs."},
     {"metricsPort", "port", 7350, 1, MaxPort, "TCP port for /metrics and /state."},
     {"callerMemoryMegabytes", "MiB", 64, 1, 65536, "Memory for requests and unread responses of all callers."},
+    {"callerConnections", "connections", 2000, 16, 1000000, "Connections of callers that are open at the same time."},
 };
 
 const std::vector<DecimalSetting> DecimalSettings{
@@ -48,6 +49,7 @@
     settings.peerPort = static_cast<std::uint16_t>(numbers.at("peerPort"));
     settings.metricsPort = static_cast<std::uint16_t>(numbers.at("metricsPort"));
     settings.callerMemoryBytes = static_cast<std::size_t>(numbers.at("callerMemoryMegabytes")) * 1024 * 1024;
+    settings.callerConnections = static_cast<std::size_t>(numbers.at("callerConnections"));
     const auto decimals = reader.decimals(DecimalSettings);
     settings.drainGrace = fromSeconds(decimals.at("drainGraceSeconds"));
     settings.retryBudget.ratio = decimals.at("repeatRatio");
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -25,6 +25,7 @@
     std::uint16_t metricsPort = 0; ///< TCP port for metrics and the state dump.
     std::string storeAddress;
     std::size_t callerMemoryBytes = 64ULL * 1024 * 1024; ///< For requests and unread responses of all callers.
+    std::size_t callerConnections = 2000; ///< Connections of callers that are open at the same time.
     milliseconds drainGrace{8000}; ///< Time from the stop signal until the process is killed.
     FleetRetryBudgetSettings retryBudget;
     milliseconds promptBlockTime{60000}; ///< Time for which prompt parts that crash endpoints are blocked before a request is tried.
