HttpClientConnection: Take the end of a connection for the end of a body only after the whole request

Cause: the failed write takes the error of the socket, and the read after it sees an ordinary end, which completes a body without a length. Change: such a body is complete only if the request has been written whole before.

A response with a length that comes during the upload is still complete.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -76,6 +76,7 @@
     body_ = std::move(body);
     handlers_ = std::move(handlers);
     exchangeActive_ = true;
+    wroteRequest_ = false;
     headHandled_ = false;
     skippingResponse_ = false;
     ignoredResponses_ = 0;
@@ -159,6 +160,7 @@
     const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(request_), body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
     boost::asio::async_write(socket_, parts, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
         self->writing_ = false;
+        self->wroteRequest_ = !error;
         self->request_.clear();
         self->body_.reset();
         // After a failed write there may still be a response to read, for example if the server rejected the request before reading its body.
@@ -183,7 +185,9 @@
             }
             return;
         }
-        if (error == boost::asio::error::eof && self->exchangeActive_ && self->headHandled_ && !self->skippingResponse_
+        // The end of the connection completes a body without a length only if the request was written whole. A failed write takes the error of a reset, and
+        // the read sees an ordinary end.
+        if (error == boost::asio::error::eof && self->wroteRequest_ && self->exchangeActive_ && self->headHandled_ && !self->skippingResponse_
             && self->reader_.feedEnd() == HttpReadState::Finished) {
             self->processInput();
             return;
--- a/src/gateway/httpclientconnection.h
+++ b/src/gateway/httpclientconnection.h
@@ -93,6 +93,7 @@
     bool closed_ = false;
     bool exchangeActive_ = false;
     bool writing_ = false;
+    bool wroteRequest_ = false; ///< The request of this exchange has been written whole.
     bool reading_ = false;
     bool headHandled_ = false;
     bool skippingResponse_ = false;
--- a/tests/gateway/httpclientconnectiontest.cpp
+++ b/tests/gateway/httpclientconnectiontest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/httpclientconnection.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -246,4 +247,96 @@
     }
 }
 
+/// A server that responds while the client is still writing a large request, without reading more of it.
+class HttpClientConnectionUploadTest : public testing::Test
+{
+protected:
+    struct Outcome {
+        bool isFinished = false;
+        std::optional<ExchangeFailure> failure;
+        unsigned status = 0;
+    };
+
+    /// The server sends @p response and ends the connection, with a reset if @p isReset is true; without @p ends it keeps it open and reads the request.
+    Outcome receive(const std::string &response, std::size_t bodyBytes, bool ends, bool isReset = false)
+    {
+        boost::asio::io_context io;
+        tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        std::optional<tcp::socket> server;
+        boost::asio::steady_timer endTimer(io);
+        std::string discarded(1 << 20, '\0');
+        std::function<void()> readMore = [&] {
+            server->async_read_some(boost::asio::buffer(discarded), [&](const boost::system::error_code &error, std::size_t) {
+                if (!error) {
+                    readMore();
+                }
+            });
+        };
+        acceptor.async_accept([&](const boost::system::error_code &, tcp::socket socket) {
+            server.emplace(std::move(socket));
+            boost::asio::write(*server, boost::asio::buffer(response));
+            if (!ends) {
+                readMore();
+                return;
+            }
+            // The client has read the part by then.
+            endTimer.expires_after(30ms);
+            endTimer.async_wait([&](const boost::system::error_code &) {
+                if (isReset) {
+                    server->set_option(boost::asio::socket_base::linger(true, 0));
+                }
+                server->close();
+            });
+        });
+        const auto client = std::make_shared<HttpClientConnection>(io, acceptor.local_endpoint(), 5s);
+        Outcome outcome;
+        HttpClientConnection::Handlers handlers;
+        handlers.onHead = [&](const HttpHead &head) {
+            outcome.status = head.status;
+            return ResponseDisposition::Accept;
+        };
+        handlers.onBody = [](const std::string &) {};
+        handlers.onFinished = [&] {
+            outcome.isFinished = true;
+            io.stop();
+        };
+        handlers.onFailed = [&](ExchangeFailure failure) {
+            outcome.failure = failure;
+            io.stop();
+        };
+        const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+        client->exchange(head, std::move(handlers), std::make_shared<const std::string>(bodyBytes, 'x'));
+        io.run_for(10s);
+        client->close();
+        return outcome;
+    }
+
+    static constexpr std::size_t LargeBody = 24ULL * 1024 * 1024;
+    const std::string untilClose_ = "HTTP/1.1 200 OK\r\n\r\na part of the body";
+};
+
+// Guards against a part of a response that reaches the caller as the whole one: the failed write takes the error, and the read sees an ordinary end.
+TEST_F(HttpClientConnectionUploadTest, ConnectionIsResetDuringUpload_BodyWithoutLength_IsNotComplete)
+{
+    for (int attempt = 0; attempt < 12; ++attempt) {
+        const Outcome outcome = receive(untilClose_, LargeBody, true, true);
+        EXPECT_FALSE(outcome.isFinished);
+        EXPECT_TRUE(outcome.failure);
+    }
+}
+
+TEST_F(HttpClientConnectionUploadTest, ConnectionIsClosedDuringUpload_BodyWithoutLength_IsNotComplete)
+{
+    for (int attempt = 0; attempt < 12; ++attempt) {
+        const Outcome outcome = receive(untilClose_, LargeBody, true);
+        EXPECT_FALSE(outcome.isFinished);
+        EXPECT_TRUE(outcome.failure);
+    }
+}
+
+TEST_F(HttpClientConnectionUploadTest, ResponseWithLengthArrivesDuringUpload_IsComplete)
+{
+    EXPECT_TRUE(receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LargeBody, false).isFinished);
+}
+
 }
