HttpClientConnection: Reject responses with a status that HTTP does not have

Change: a status below 100 or above 599 makes the response malformed, and the attempt fails at once.

Test: HttpClientConnectionUploadTest.StatusIsOutsideItsRange_Response_IsMalformed; before, 000, 001 and 099 had no outcome within 10 s, 600 and 999 were accepted.

--- a/src/gateway/httpclientconnection.cpp
+++ b/src/gateway/httpclientconnection.cpp
@@ -31,6 +31,11 @@
 /// Interim responses, and responses to other requests, that may precede the response of one exchange. A server that fails may send them without end.
 constexpr int MaxIgnoredResponses = 16;
 
+/// Status codes of HTTP. Those below FirstFinalStatus belong to interim responses.
+constexpr unsigned MinStatus = 100;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned MaxStatus = 599;
+
 constexpr std::string_view TimeoutParameter = "timeout=";
 
 Duration idleTimeout(const HttpHead &head)
@@ -218,7 +223,11 @@
         if (state == HttpReadState::Start || state == HttpReadState::Head) {
             return;
         }
-        const bool isInterim = reader_.head().status < 200;
+        if (reader_.head().status < MinStatus || reader_.head().status > MaxStatus) {
+            fail(ExchangeFailure::Malformed);
+            return;
+        }
+        const bool isInterim = reader_.head().status < FirstFinalStatus;
         if (!headHandled_ && !isInterim) {
             headHandled_ = true;
             skippingResponse_ = handlers_.onHead(reader_.head()) == ResponseDisposition::Skip;
--- a/tests/gateway/httpclientconnectiontest.cpp
+++ b/tests/gateway/httpclientconnectiontest.cpp
@@ -339,4 +339,15 @@
     EXPECT_TRUE(receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", LargeBody, false).isFinished);
 }
 
+// Guards against responses with a status that HTTP does not have: 000 was taken for an interim response, and the caller waited until its deadline.
+TEST_F(HttpClientConnectionUploadTest, StatusIsOutsideItsRange_Response_IsMalformed)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        const Outcome outcome = receive("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok", 0, false);
+        EXPECT_EQ(outcome.failure, ExchangeFailure::Malformed) << status;
+        EXPECT_EQ(outcome.status, 0U) << status;
+    }
+    EXPECT_EQ(receive("HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nok", 0, false).status, 599U);
+}
+
 }
