--- a/src/gateway/callermemory.h
+++ b/src/gateway/callermemory.h
@@ -12,7 +12,7 @@
 
 /// Requests up to this size are ordinary: they are admitted to the share of the memory that larger ones may not use, and holdings of less than a quarter of
 /// it are not tracked.
-inline constexpr std::size_t OrdinaryRequestBytes = 64 * 1024;
+inline constexpr std::size_t OrdinaryRequestBytes = 64UL * 1024;
 
 /// Bounds the memory that the requests and the unread responses of all callers of this VM take. Does no I/O.
 ///
--- a/src/gateway/endpointconnectionpool.cpp
+++ b/src/gateway/endpointconnectionpool.cpp
@@ -75,7 +75,7 @@
         }
     }
     ++openedCount_;
-    const auto connection = std::make_shared<HttpClientConnection>(context_, parseSocketAddress(endpoint.address), ConnectTimeout);
+    auto connection = std::make_shared<HttpClientConnection>(context_, parseSocketAddress(endpoint.address), ConnectTimeout);
     std::vector<std::weak_ptr<HttpClientConnection>> &known = histories_[keyOf(endpoint)].connections;
     std::erase_if(known, [](const std::weak_ptr<HttpClientConnection> &weak) { return weak.expired(); });
     known.push_back(connection);
--- a/src/gateway/endpointupdate.cpp
+++ b/src/gateway/endpointupdate.cpp
@@ -60,7 +60,7 @@
 std::string encodePart(const EndpointUpdate &update, boost::json::array changes)
 {
     std::string bytes(UpdateMagic);
-    boost::json::object json{{"offset", update.offset}, {"digest", update.digest}, {"changes", std::move(changes)}};
+    boost::json::object json{{"era", update.position.era}, {"offset", update.position.offset}, {"digest", update.digest}, {"changes", std::move(changes)}};
     if (!update.leaving.empty()) {
         boost::json::array leaving;
         for (const EndpointRecord &record : update.leaving) {
@@ -107,7 +107,9 @@
         return std::nullopt;
     }
     JsonReader reader(*json, source, "", findings);
-    EndpointUpdate update{.offset = static_cast<std::uint32_t>(reader.requiredInteger("offset", 0, MaxUnsigned)),
+    // VMs of an earlier version state no era.
+    EndpointUpdate update{.position = {.era = static_cast<std::uint32_t>(reader.integer("era", 0, 0, MaxUnsigned)),
+                                       .offset = static_cast<std::uint32_t>(reader.requiredInteger("offset", 0, MaxUnsigned))},
                           .digest = static_cast<std::uint32_t>(reader.requiredInteger("digest", 0, MaxUnsigned))};
     const boost::json::value *changes = reader.member("changes");
     if (changes == nullptr || !changes->is_array()) {
--- a/src/gateway/endpointupdate.h
+++ b/src/gateway/endpointupdate.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "gateway/endpointdirectory.h"
+#include "gateway/storeposition.h"
 
 #include <deque>
 #include <optional>
@@ -14,10 +15,10 @@
 
 /// Changes of the endpoint list that one VM has read from the store and sends to its group.
 struct EndpointUpdate {
-    std::uint32_t offset = 0; ///< Log offset up to which the sender has read the list.
+    StorePosition position{}; ///< Up to which the sender has read the list.
     std::uint32_t digest = 0; ///< Digest of the sender's list.
     std::vector<EndpointChange> changes{};
-    std::vector<EndpointRecord> leaving{}; ///< Endpoints that have said that they leave. Holds whatever the offset is.
+    std::vector<EndpointRecord> leaving{}; ///< Endpoints that have said that they leave. Holds whatever the position is.
 
     auto operator<=>(const EndpointUpdate &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,7 +56,7 @@
 {
     peers_.onEndpointUpdate = [this](const EndpointUpdate &update) { applyEndpointUpdate(update); };
     context_.announceLeaving = [this](const EndpointRecord &endpoint) {
-        peers_.sendEndpointUpdate({.offset = context_.endpointOffset, .digest = context_.directory.digest(), .leaving = {endpoint}});
+        peers_.sendEndpointUpdate({.position = context_.endpointPosition, .digest = context_.directory.digest(), .leaving = {endpoint}});
     };
 }
 
@@ -97,12 +97,12 @@
     Log::write(Log::Level::Info, "plan-applied", {{"version", std::to_string(plan->version())}, {"routes", std::to_string(plan->routeCount())}});
 }
 
-void Gateway::applyEndpointChanges(const std::vector<EndpointChange> &changes, std::uint32_t offset)
+void Gateway::applyEndpointChanges(const std::vector<EndpointChange> &changes, const StorePosition &position)
 {
     const TimePoint now = monotonicNow();
     if (recentEndpointChanges_.apply(context_.directory, changes, now)) {
         onEndpointsChanged(now);
-        peers_.sendEndpointUpdate({.offset = offset, .digest = context_.directory.digest(), .changes = recentEndpointChanges_.list(now)});
+        peers_.sendEndpointUpdate({.position = position, .digest = context_.directory.digest(), .changes = recentEndpointChanges_.list(now)});
     }
 }
 
@@ -122,7 +122,7 @@
         context_.directory.markLeaving(endpoint);
     }
     // An older update must not undo what this VM has read itself.
-    if (update.offset <= context_.endpointOffset) {
+    if (update.position <= context_.endpointPosition) {
         return;
     }
     const TimePoint now = monotonicNow();
@@ -130,7 +130,7 @@
         onEndpointsChanged(now);
     }
     if (context_.directory.digest() == update.digest) {
-        context_.endpointOffset = update.offset;
+        context_.endpointPosition = update.position;
         context_.endpointFreshness.recordUpdate(now);
     }
 }
@@ -148,13 +148,13 @@
                {{"revision", std::to_string(context_.directory.revision())}, {"known", std::to_string(context_.directory.all().size())}});
 }
 
-void Gateway::recordEndpointRead(std::uint32_t offset)
+void Gateway::recordEndpointRead(const StorePosition &position)
 {
     const TimePoint now = monotonicNow();
     if (context_.directory.applyDueRemovals(now)) {
         onEndpointsChanged(now);
     }
-    context_.endpointOffset = std::max(context_.endpointOffset, offset);
+    context_.endpointPosition = std::max(context_.endpointPosition, position);
     context_.endpointFreshness.recordRead(now);
     peers_.sendViewUpdate();
 }
@@ -385,6 +385,8 @@
     }
     return boost::json::serialize(boost::json::object{{"vm", context_.settings.vm.value()},
                                                       {"planVersion", context_.plan ? context_.plan->version() : 0},
+                                                      {"storeEra", context_.endpointPosition.era},
+                                                      {"endpointOffset", context_.endpointPosition.offset},
                                                       {"draining", context_.drainingSince.has_value()},
                                                       {"callers", callerConnections_.size()},
                                                       {"peerVms", context_.fleetLoad.peerCount()},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,12 +27,12 @@
     /// Replaces the serving plan, unless the current one has the same or a newer version.
     void applyPlan(const ServingPlanPointer &plan);
 
-    /// Applies changes of the endpoint list, or the whole list, that this VM has read from the store up to @p offset of the log.
-    void applyEndpointChanges(const std::vector<EndpointChange> &changes, std::uint32_t offset);
+    /// Applies changes of the endpoint list, or the whole list, that this VM has read from the store up to @p position.
+    void applyEndpointChanges(const std::vector<EndpointChange> &changes, const StorePosition &position);
     void replaceEndpoints(const std::vector<EndpointRecord> &records);
 
-    /// Records that this VM has read the endpoint list up to @p offset of the log.
-    void recordEndpointRead(std::uint32_t offset);
+    /// Records that this VM has read the endpoint list up to @p position.
+    void recordEndpointRead(const StorePosition &position);
 
     /// Applies the settings that can change at run time: the drain grace period and the retry budget.
     void applySettings(const GatewaySettings &settings);
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -75,7 +75,7 @@
     EndpointConnectionPool connectionPool;
     ViewFreshness planFreshness{PlanPrimaryReadAge, PlanBackupReadAge, Duration::zero()};
     ViewFreshness endpointFreshness{EndpointPrimaryReadAge, EndpointBackupReadAge, EndpointUpdateWait};
-    std::uint32_t endpointOffset = 0; ///< Log offset up to which the endpoint list has been read.
+    StorePosition endpointPosition{}; ///< Up to which the endpoint list has been read.
     ReaderRank readerRank;
     FleetLoad fleetLoad;
     EndpointHealth health;
--- a/src/gateway/httpreader.h
+++ b/src/gateway/httpreader.h
@@ -27,7 +27,7 @@
 
 /// Up to this size, the body of a message in chunks grows as it arrives. A larger one gets the most that it may need: a string that grows takes up to three
 /// times its size for a moment, while memory that was reserved is not in use before bytes arrive.
-inline constexpr std::size_t MaxGrowingBytes = 64 * 1024;
+inline constexpr std::size_t MaxGrowingBytes = 64UL * 1024;
 
 /// Stores the parts of one message as Boost.Beast's incremental parser reports them.
 template<bool IsRequest>
--- a/src/gateway/loadreportcodec.cpp
+++ b/src/gateway/loadreportcodec.cpp
@@ -19,8 +19,11 @@
 
 using detail::appendBytes;
 
-constexpr std::array<char, 4> ReportMagic{'L', 'T', 'L', '4'};
-constexpr std::array<char, 4> DigestMagic{'L', 'T', 'D', '4'};
+/// Of messages that end with the era of the store, and of those of earlier versions, which do not.
+constexpr std::array<char, 4> ReportMagic{'L', 'T', 'L', '5'};
+constexpr std::array<char, 4> ReportMagicWithoutEra{'L', 'T', 'L', '4'};
+constexpr std::array<char, 4> DigestMagic{'L', 'T', 'D', '5'};
+constexpr std::array<char, 4> DigestMagicWithoutEra{'L', 'T', 'D', '4'};
 
 /// Demand and memory are sent in these fractions of their unit.
 constexpr double DemandFactor = 10;
@@ -98,7 +101,7 @@
 {
     WireView wire{};
     wire.planVersion = view.planVersion;
-    wire.endpointOffset = view.endpointOffset;
+    wire.endpointOffset = view.endpointPosition.offset;
     wire.endpointDigest = view.endpointDigest;
     wire.planAgeMs = wireAge(view.planAge);
     wire.endpointAgeMs = wireAge(view.endpointAge);
@@ -108,7 +111,7 @@
 ViewReport fromWire(const WireView &wire)
 {
     return {.planVersion = wire.planVersion.value(),
-            .endpointOffset = wire.endpointOffset.value(),
+            .endpointPosition = {.era = 0, .offset = wire.endpointOffset.value()},
             .endpointDigest = wire.endpointDigest.value(),
             .planAge = milliseconds(wire.planAgeMs.value()),
             .endpointAge = milliseconds(wire.endpointAgeMs.value())};
@@ -196,6 +199,25 @@
     return loads;
 }
 
+void appendEra(std::string &bytes, const ViewReport &view)
+{
+    boost::endian::little_uint32_buf_t era{};
+    era = view.endpointPosition.era;
+    appendBytes(bytes, era);
+}
+
+/// Removes the era from the end of @p bytes.
+std::uint32_t takeEra(std::string_view &bytes)
+{
+    boost::endian::little_uint32_buf_t era{};
+    if (bytes.size() < sizeof(era)) {
+        return 0;
+    }
+    std::memcpy(&era, bytes.data() + bytes.size() - sizeof(era), sizeof(era));
+    bytes.remove_suffix(sizeof(era));
+    return era.value();
+}
+
 /// Removes the header from the front of @p bytes and the checksum from their end. Returns std::nullopt if they are too short, do not begin with
 /// @p magic, or have been changed.
 template<typename Header>
@@ -229,13 +251,18 @@
     appendBytes(bytes, header);
     bytes += vmName;
     appendEntries(bytes, message.loads);
+    appendEra(bytes, message.view);
     appendChecksum(bytes);
     return bytes;
 }
 
 std::optional<LoadReportMessage> decodeLoadReport(std::string_view bytes)
 {
-    const auto header = takeHeader<WireReport>(bytes, ReportMagic);
+    auto header = takeHeader<WireReport>(bytes, ReportMagic);
+    const std::uint32_t era = header ? takeEra(bytes) : 0;
+    if (!header) {
+        header = takeHeader<WireReport>(bytes, ReportMagicWithoutEra);
+    }
     if (!header || bytes.size() != header->vmNameLength.value() + header->entryCount.value() * sizeof(WireEntry)) {
         return std::nullopt;
     }
@@ -244,6 +271,7 @@
     message.zone = header->zone.value();
     message.startedLongPrompt = header->startedLongPrompt.value() != 0;
     message.view = fromWire(header->view);
+    message.view.endpointPosition.era = era;
     message.shortDemand = header->shortDemandTenths.value() / DemandFactor;
     message.loads = readEntries(bytes.substr(header->vmNameLength.value()));
     return message;
@@ -268,13 +296,18 @@
     std::string bytes;
     appendBytes(bytes, header);
     appendEntries(bytes, message.loads);
+    appendEra(bytes, message.view);
     appendChecksum(bytes);
     return bytes;
 }
 
 std::optional<GroupDigestMessage> decodeGroupDigest(std::string_view bytes)
 {
-    const auto header = takeHeader<WireDigest>(bytes, DigestMagic);
+    auto header = takeHeader<WireDigest>(bytes, DigestMagic);
+    const std::uint32_t era = header ? takeEra(bytes) : 0;
+    if (!header) {
+        header = takeHeader<WireDigest>(bytes, DigestMagicWithoutEra);
+    }
     if (!header || bytes.size() != header->entryCount.value() * sizeof(WireEntry)) {
         return std::nullopt;
     }
@@ -288,6 +321,7 @@
     message.mustForward = header->mustForward.value() != 0;
     message.vmCount = header->vmCount.value();
     message.view = fromWire(header->view);
+    message.view.endpointPosition.era = era;
     message.viewOwnerIp = header->viewOwnerIp.value();
     std::transform(header->relays.begin(), header->relays.end(), message.relays.begin(), [](const auto &ip) { return ip.value(); });
     message.targetAge = milliseconds(header->targetAgeMs.value());
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -131,7 +131,7 @@
 ViewReport PeerExchange::ownView(TimePoint now) const
 {
     return {.planVersion = context_.plan ? context_.plan->version() : 0,
-            .endpointOffset = context_.endpointOffset,
+            .endpointPosition = context_.endpointPosition,
             .endpointDigest = context_.directory.digest(),
             .planAge = context_.planFreshness.readAge(now),
             .endpointAge = context_.endpointFreshness.readAge(now)};
@@ -140,6 +140,17 @@
 void PeerExchange::compareViews(const ViewReport &peer, TimePoint now)
 {
     const ViewReport own = ownView(now);
+    const std::uint32_t ownEra = own.endpointPosition.era;
+    const std::uint32_t peerEra = peer.endpointPosition.era;
+    if (peerEra > ownEra && ownEra != 0) {
+        // The store has come back from a copy, and this VM has not noticed: its offsets mean nothing any more.
+        context_.planFreshness.markOutdated(now);
+        context_.endpointFreshness.markOutdated(now);
+        return;
+    }
+    if (peerEra < ownEra) {
+        return; // Equal views of an earlier era, or of an unknown one, confirm nothing.
+    }
     if (peer.planVersion == own.planVersion) {
         context_.planFreshness.recordConfirmation(peer.planAge, now);
     } else if (peer.planVersion > own.planVersion) {
@@ -147,7 +158,7 @@
     }
     if (peer.endpointDigest == own.endpointDigest) {
         context_.endpointFreshness.recordConfirmation(peer.endpointAge, now);
-    } else if (peer.endpointOffset > own.endpointOffset) {
+    } else if (peer.endpointPosition > own.endpointPosition) {
         context_.endpointFreshness.markOutdated(now);
     }
 }
--- a/src/gateway/viewfreshness.h
+++ b/src/gateway/viewfreshness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "gateway/storeposition.h"
 
 #include <compare>
 #include <cstddef>
@@ -14,7 +15,7 @@
 /// The state of the platform's store that a VM has read, and its age.
 struct ViewReport {
     std::uint64_t planVersion = 0;
-    std::uint32_t endpointOffset = 0; ///< Log offset up to which the VM has read the endpoint list.
+    StorePosition endpointPosition{}; ///< Up to which the VM has read the endpoint list.
     std::uint32_t endpointDigest = 0; ///< Equal for equal endpoint lists.
     milliseconds planAge{0}; ///< Time since the VM itself last read the plan from the store.
     milliseconds endpointAge{0};
--- a/tests/gateway/callermemorytest.cpp
+++ b/tests/gateway/callermemorytest.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::size_t Limit = 1024 * 1024;
+constexpr std::size_t Limit = 1024UL * 1024;
 constexpr std::size_t Ordinary = OrdinaryRequestBytes;
 
 class CallerMemoryTest : public testing::Test
--- a/tests/gateway/endpointconnectionpooltest.cpp
+++ b/tests/gateway/endpointconnectionpooltest.cpp
@@ -20,7 +20,7 @@
 protected:
     HttpClientConnectionPointer open()
     {
-        const HttpClientConnectionPointer connection = pool_.acquire(endpoint_, ConnectionReuse::Never, monotonicNow());
+        HttpClientConnectionPointer connection = pool_.acquire(endpoint_, ConnectionReuse::Never, monotonicNow());
         HttpClientConnection::Handlers handlers;
         handlers.onHead = [](const HttpHead &) { return ResponseDisposition::Accept; };
         handlers.onBody = [](const std::string &) {};
--- a/tests/gateway/endpointupdatetest.cpp
+++ b/tests/gateway/endpointupdatetest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/endpointupdate.h"
 
+#include "gateway/datagramchecksum.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -54,17 +56,31 @@
 {
     EndpointRecord leaving = record("b");
     leaving.isDraining = true;
-    const EndpointUpdate update{.offset = 12, .digest = 4'000'000'000, .changes = {change(record("a")), change(leaving), removal("c")}};
+    const EndpointUpdate update{.position = {.era = 2, .offset = 12}, .digest = 4'000'000'000, .changes = {change(record("a")), change(leaving), removal("c")}};
     const auto datagrams = encodeEndpointUpdate(update);
     ASSERT_EQ(datagrams.size(), 1U);
     EXPECT_EQ(decodeEndpointUpdate(datagrams.front()), update);
-    const EndpointUpdate statement{.offset = 12, .digest = 1, .leaving = {record("d")}};
+    const EndpointUpdate statement{.position = {.offset = 12}, .digest = 1, .leaving = {record("d")}};
     EXPECT_EQ(decodeEndpointUpdate(encodeEndpointUpdate(statement).front()), statement);
 }
 
+// VMs of an earlier version state no era.
+TEST_F(EndpointUpdateTest, UpdateStatesNoEra_ItsEra_IsUnknown)
+{
+    std::string bytes = R"(LTE4{"offset":12,"digest":1,"changes":[]})";
+    appendChecksum(bytes);
+    EXPECT_EQ(decodeEndpointUpdate(bytes), (EndpointUpdate{.position = {.era = 0, .offset = 12}, .digest = 1}));
+}
+
+TEST(StorePositionTest, EraIsHigher_OffsetIsLower_Position_IsLater)
+{
+    EXPECT_GT((StorePosition{.era = 2, .offset = 1}), (StorePosition{.era = 1, .offset = 100}));
+    EXPECT_GT((StorePosition{.era = 2, .offset = 2}), (StorePosition{.era = 2, .offset = 1}));
+}
+
 TEST_F(EndpointUpdateTest, UpdateIsLarge_IsDividedIntoDatagrams_ThatArriveWhole)
 {
-    EndpointUpdate update{.offset = 12, .digest = 1};
+    EndpointUpdate update{.position = {.offset = 12}, .digest = 1};
     for (int index = 0; index < 100; ++index) {
         update.changes.push_back(change(record("endpoint-" + std::to_string(index))));
     }
@@ -81,7 +97,7 @@
 
 TEST_F(EndpointUpdateTest, Datagram_HasAnyChangedByte_IsIgnored)
 {
-    std::string bytes = encodeEndpointUpdate({.offset = 1, .digest = 2, .changes = {change(record("a")), removal("b")}}).front();
+    std::string bytes = encodeEndpointUpdate({.position = {.offset = 1}, .digest = 2, .changes = {change(record("a")), removal("b")}}).front();
     for (char &byte : bytes) {
         byte = static_cast<char>(byte ^ 0x10);
         EXPECT_FALSE(decodeEndpointUpdate(bytes).has_value());
@@ -117,7 +133,7 @@
     EndpointRecord leaving = record("a");
     leaving.isDraining = true;
     recent_.apply(directory_, {change(leaving), removal("b")}, now_ + 1s);
-    deliver({.offset = 9, .digest = directory_.digest(), .changes = recent_.list(now_ + 1s)}, receiver, receiverRecent, now_ + 1s);
+    deliver({.position = {.offset = 9}, .digest = directory_.digest(), .changes = recent_.list(now_ + 1s)}, receiver, receiverRecent, now_ + 1s);
     EXPECT_EQ(receiver.digest(), directory_.digest());
     EXPECT_TRUE(receiver.usable("s").empty());
 }
@@ -131,7 +147,7 @@
     receiverRecent.apply(receiver, {change(record("a"))}, now_);
     receiver.deferRemovals(now_);
     recent_.apply(directory_, {removal("a")}, now_);
-    deliver({.offset = 9, .digest = directory_.digest(), .changes = recent_.list(now_)}, receiver, receiverRecent, now_);
+    deliver({.position = {.offset = 9}, .digest = directory_.digest(), .changes = recent_.list(now_)}, receiver, receiverRecent, now_);
     EXPECT_NE(receiver.digest(), directory_.digest());
     receiver.applyDueRemovals(now_ + 3s);
     EXPECT_EQ(receiver.digest(), directory_.digest());
--- a/tests/gateway/fleetloadtest.cpp
+++ b/tests/gateway/fleetloadtest.cpp
@@ -1,4 +1,6 @@
 #include "gateway/fleetload.h"
+
+#include "gateway/datagramchecksum.h"
 #include "gateway/loadreportcodec.h"
 
 #include <gtest/gtest.h>
@@ -43,7 +45,7 @@
     message.number = {.incarnation = 6, .sequence = 7};
     message.mustForward = true;
     message.vmCount = 39;
-    message.view = {.planVersion = 12, .endpointOffset = 34, .endpointDigest = 56, .planAge = 78ms, .endpointAge = 90ms};
+    message.view = {.planVersion = 12, .endpointPosition = {.era = 3, .offset = 34}, .endpointDigest = 56, .planAge = 78ms, .endpointAge = 90ms};
     message.viewOwnerIp = 8;
     message.relays = {9, 10};
     message.targetAge = 11ms;
@@ -164,7 +166,7 @@
 TEST(LoadReportCodecTest, Report_IsEncodedAndDecoded_IsUnchanged)
 {
     LoadReportMessage message{.vm = VmId("vm-1"), .number = {.incarnation = 7, .sequence = 9}, .zone = 11, .startedLongPrompt = true};
-    message.view = {.planVersion = 12, .endpointOffset = 34, .endpointDigest = 56, .planAge = 78ms, .endpointAge = 90ms};
+    message.view = {.planVersion = 12, .endpointPosition = {.era = 3, .offset = 34}, .endpointDigest = 56, .planAge = 78ms, .endpointAge = 90ms};
     message.shortDemand = 12.5;
     EndpointLoad load{.requests = 3,
                       .shortRequests = 2,
@@ -177,6 +179,30 @@
     EXPECT_EQ(decodeLoadReport(encodeLoadReport(message)), message);
 }
 
+/// @p bytes as a VM of the version before the eras of the store encodes them.
+std::string withoutEra(const std::string &bytes)
+{
+    std::string result(verifyChecksum(bytes).value());
+    result.resize(result.size() - sizeof(std::uint32_t));
+    result[3] = '4';
+    appendChecksum(result);
+    return result;
+}
+
+// Guards against a fleet that falls apart while it is updated.
+TEST(LoadReportCodecTest, MessagesStateNoEra_AreDecoded_TheirEra_IsUnknown)
+{
+    LoadReportMessage report{.vm = VmId("vm-1"), .number = {.incarnation = 7, .sequence = 9}, .zone = 11};
+    report.view.endpointPosition = {.era = 3, .offset = 34};
+    GroupDigestMessage digest = sampleDigest();
+    const std::string oldReport = withoutEra(encodeLoadReport(report));
+    const std::string oldDigest = withoutEra(encodeGroupDigest(digest));
+    report.view.endpointPosition.era = 0;
+    digest.view.endpointPosition.era = 0;
+    EXPECT_EQ(decodeLoadReport(oldReport), report);
+    EXPECT_EQ(decodeGroupDigest(oldDigest), digest);
+}
+
 TEST(LoadReportCodecTest, Digest_IsEncodedAndDecoded_IsUnchanged)
 {
     const GroupDigestMessage message = sampleDigest();
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -85,6 +85,7 @@
         self.topics = {}
         self.records_changed = asyncio.Condition()
         self.outage = None  # None, "busy", "reset" or "silent"
+        self.era = 1
         self.response_loss_rate = 0.0
         self.random = random.Random(1)
 
@@ -110,7 +111,7 @@
                 writer.transport.abort()
                 return
             if self.outage == "busy":
-                writer.write(answer(503))
+                writer.write(self.answer(503))
                 await writer.drain()
                 continue
             result = await self.handle(*message)
@@ -120,6 +121,18 @@
             writer.write(result)
             await writer.drain()
 
+    def answer(self, status, body=b""):
+        return answer(status, body, {"Store-Era": str(self.era)} if self.era else None)
+
+    def copy(self):
+        """A copy to which the store can be set back."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def set_back(self, copy):
+        """Continues from an older copy: what was written since is gone, and its offsets are given out again."""
+        self.topics = {topic: list(records) for topic, records in copy.items()}
+        self.era += 1
+
     async def handle(self, start, _headers, body):
         url = urllib.parse.urlsplit(start.split(" ")[1])
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -135,11 +148,13 @@
             ]
             remaining = [item for item in items if item["key"] > query.get("after", "")]
             page = remaining[:self.PAGE_SIZE]
-            return answer(200, json.dumps({"items": page, "has_more": len(page) < len(remaining), "end": len(records)}).encode())
+            return self.answer(200, json.dumps({"items": page, "has_more": len(page) < len(remaining), "end": len(records)}).encode())
         if url.path.endswith("log-read"):
             first = int(query["from"])
+            if first > len(records):
+                return self.answer(410, json.dumps({"first": 0}).encode())
             deadline = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
-            while len(records) <= first and time.monotonic() < deadline:
+            while len(records) <= first and time.monotonic() < deadline and self.topics.get(topic) is records:
                 async with self.records_changed:
                     try:
                         await asyncio.wait_for(self.records_changed.wait(), deadline - time.monotonic())
@@ -149,14 +164,14 @@
             for key, value in records[first:]:
                 content = bytes([len(key)]) + key.encode() + (value or b"")
                 text += struct.pack(">I", len(content)) + content
-            return answer(200, text)
+            return self.answer(200, text)
         if url.path.endswith("log-append"):
             length = struct.unpack(">I", body[:4])[0]
             content = body[4:4 + length]
             key = content[1:1 + content[0]].decode()
             offset = self.put(topic, key, content[1 + content[0]:] or None)
-            return answer(200, json.dumps({"offset": offset, "end": offset + 1}).encode())
-        return answer(404)
+            return self.answer(200, json.dumps({"offset": offset, "end": offset + 1}).encode())
+        return self.answer(404)
 
 
 def expected_body(request_id):
