--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -521,10 +521,13 @@
         return;
     }
     if (attempt.response.wasNotRun) {
-        if (attempt.response.isReplaced) {
-            context_.promptPartGuard.onEndpointGone(attempt.endpoint, now);
+        const bool isReplaced = attempt.response.isReplaced;
+        const EndpointRecord endpoint = attempt.endpoint;
+        failAttempt(attempt, isReplaced ? AttemptOutcome::Replaced : AttemptOutcome::NotRun, false);
+        if (isReplaced) {
+            // Last, because a block that follows may end this request.
+            context_.promptPartGuard.onEndpointGone(endpoint, now);
         }
-        failAttempt(attempt, attempt.response.isReplaced ? AttemptOutcome::Replaced : AttemptOutcome::NotRun, false);
         return;
     }
     if (!attempt.response.hasServerStamp) {
@@ -571,11 +574,13 @@
         onLostBeforeFirstEvent(attempt, *stage);
         return;
     }
-    if (failure == ExchangeFailure::Refused) {
-        context_.promptPartGuard.onEndpointGone(attempt.endpoint, monotonicNow());
-    }
     const bool notConnected = failure == ExchangeFailure::NotConnected || failure == ExchangeFailure::Refused;
+    const EndpointRecord endpoint = attempt.endpoint;
     failAttempt(attempt, notConnected ? AttemptOutcome::NotConnected : AttemptOutcome::Incomplete, !notConnected);
+    if (failure == ExchangeFailure::Refused) {
+        // Last, because a block that follows may end this request.
+        context_.promptPartGuard.onEndpointGone(endpoint, monotonicNow());
+    }
 }
 
 void RequestExchange::onLostBeforeFirstEvent(EndpointAttempt &attempt, CrashedRunStage stage)
