--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,12 +211,14 @@
             return;
         }
         if (error) {
-            // Descriptors are used up; at once, the same would happen again.
             context_.metrics.increment("lentillock_accept_failures_total");
+        }
+        if (error && error != boost::asio::error::connection_aborted) {
+            // Descriptors are used up; at once, the same would happen again.
             context_.timers.scheduleOnce(monotonicNow() + AcceptRetryDelay, [this](TimePoint) { accept(); });
             return;
         }
-        if (makeRoomForConnection()) {
+        if (!error && makeRoomForConnection()) {
             const auto connection = std::make_shared<CallerHttpConnection>(
                 context_, std::move(socket), [this](CallerHttpConnection *closed) { callerConnections_.erase(closed); });
             callerConnections_.emplace(connection.get(), connection);
