--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -1,10 +1,10 @@
 #include "gateway/crashattribution.h"
 
+#include "gateway/crashevidence.h"
 #include "gateway/crashexplanations.h"
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <tuple>
 
 namespace Lentillock
@@ -13,173 +13,17 @@
 namespace
 {
 
-/// Crashes of runs with one prompt that are closer together have a common cause. Shorter than MinCrashInterval, because a request that is sent again after
-/// a crash reaches the next endpoint soon.
-constexpr Duration MinPromptCrashInterval = 100ms;
-
-/// Used instead of MinCrashInterval and MinPromptCrashInterval for what is blocked. VMs know the time of a crash only to within the transmission of its
-/// report, so with one interval some would release what others have just blocked.
-constexpr Duration MinCrashIntervalOfBlock = MinCrashInterval / 2;
-constexpr Duration MinPromptCrashIntervalOfBlock = MinPromptCrashInterval / 2;
-
-/// Runs that waited are evidence against parts only after this time, in which all VMs have told what the crash has ended: what the victims have in common
-/// must not be blamed before the run that explains more is known. Allows for the repetition of a lost report.
-constexpr Duration ReportTime = 200ms;
-
 /// After this time without an outcome, for example because the caller has left, another request may be tried.
 constexpr Duration TrialTimeout = 30s;
 
 /// Crashes that are no evidence, or not yet, are sent for this time, so that all VMs learn it, and know the prompt.
 constexpr Duration SoundCrashSendTime = 5s;
 
-using Crashes = std::vector<const StartCrash *>;
-
-std::size_t endpointCount(const Crashes &crashes)
-{
-    std::set<std::uint64_t> endpoints;
-    for (const StartCrash *crash : crashes) {
-        endpoints.insert(crash->endpoint);
-    }
-    return endpoints.size();
-}
-
-/// Divides @p crashes, which are in the order of their times, into incidents that are at least @p interval apart. Runs that one crash of an endpoint has
-/// ended are in the same incident.
-std::vector<Crashes> incidentsOf(const Crashes &crashes, Duration interval)
-{
-    struct EndpointCrash {
-        TimePoint at{};
-        std::size_t incident = 0;
-    };
-    std::vector<Crashes> incidents;
-    std::map<std::uint64_t, EndpointCrash> lastCrashes; // By endpoint.
-    for (const StartCrash *crash : crashes) {
-        const auto last = lastCrashes.find(crash->endpoint);
-        if (last != lastCrashes.end() && crash->at - last->second.at <= detail::SameCrashTime) {
-            incidents[last->second.incident].push_back(crash);
-            continue;
-        }
-        if (incidents.empty() || crash->at - incidents.back().front()->at >= interval) {
-            incidents.emplace_back();
-        }
-        incidents.back().push_back(crash);
-        lastCrashes[crash->endpoint] = {.at = crash->at, .incident = incidents.size() - 1};
-    }
-    return incidents;
-}
-
-/// Sum of the largest weights of each of @p incidents.
-std::size_t weightOf(const std::vector<Crashes> &incidents)
-{
-    std::size_t weight = 0;
-    for (const Crashes &incident : incidents) {
-        const bool hasResponse
-            = std::any_of(incident.begin(), incident.end(), [](const StartCrash *crash) { return crash->stage == CrashedRunStage::ResponseStart; });
-        weight += hasResponse ? ResponseStartWeight : WaitingWeight;
-    }
-    return weight;
-}
-
-/// Whether runs of one prompt were among the crashes of all @p incidents, so that this prompt alone explains them.
-bool haveCommonPrompt(const std::vector<Crashes> &incidents)
-{
-    return std::any_of(incidents.front().begin(), incidents.front().end(), [&incidents](const StartCrash *candidate) {
-        return candidate->promptHash != 0 && std::all_of(incidents.begin(), incidents.end(), [candidate](const Crashes &incident) {
-                   return std::any_of(
-                       incident.begin(), incident.end(), [candidate](const StartCrash *crash) { return crash->promptHash == candidate->promptHash; });
-               });
-    });
-}
-
-/// Whether @p crashes, which are in the order of their times and have a part in common, show that this part crashes endpoints.
-bool areSufficient(const Crashes &crashes, Duration interval)
-{
-    const std::vector<Crashes> incidents = incidentsOf(crashes, interval);
-    return weightOf(incidents) >= BlockingWeight && endpointCount(crashes) >= MinCrashedEndpoints && !haveCommonPrompt(incidents);
-}
-
-/// Whether @p crashes, which are in the order of their times and of runs with one prompt, show that this prompt crashes endpoints. Requests without shared
-/// parts, such as calls, may be equal although they are sound and frequent; they need as many crashes as parts do.
-bool areSufficientForPrompt(const Crashes &crashes, Duration interval)
-{
-    if (crashes.empty() || endpointCount(crashes) < MinCrashedEndpoints) {
-        return false;
-    }
-    const std::size_t neededWeight = crashes.front()->parts.empty() ? BlockingWeight : PromptBlockingWeight;
-    return weightOf(incidentsOf(crashes, interval)) >= neededWeight;
-}
-
-bool isEarlier(const StartCrash *left, const StartCrash *right)
-{
-    return left->at < right->at;
-}
-
-/// Those of @p crashes for which @p implicates is true, in the same order.
-template<typename Predicate>
-Crashes filtered(const Crashes &crashes, Predicate implicates)
-{
-    Crashes result;
-    std::copy_if(crashes.begin(), crashes.end(), std::back_inserter(result), implicates);
-    return result;
-}
-
 bool containsAll(const PromptParts &known, const PromptParts &parts)
 {
     return std::all_of(parts.begin(), parts.end(), [&known](const PromptPartId &part) { return std::find(known.begin(), known.end(), part) != known.end(); });
 }
 
-bool isReported(const StartCrash &crash, TimePoint now)
-{
-    return crash.stage != CrashedRunStage::Waiting || now - crash.at >= ReportTime;
-}
-
-/// Those of @p crashes of which all VMs have told what they have ended.
-Crashes reported(const Crashes &crashes, TimePoint now)
-{
-    return filtered(crashes, [now](const StartCrash *crash) { return isReported(*crash, now); });
-}
-
-/// Whether normal starts that are known now leave too little evidence for @p block among @p matching, the crashes of requests that it concerns, in the
-/// order of their times. Returns the time of the last of these crashes that such a start followed.
-std::optional<TimePoint> refutation(const PromptPartBlock &block, const Crashes &matching)
-{
-    std::optional<TimePoint> startedAfter;
-    // Evidence that is no longer known, because it is old, refutes nothing.
-    const auto isRefuted = [&](const auto &implicates, const auto &areEnough) {
-        const Crashes cleared = filtered(matching, [&](const StartCrash *crash) { return !implicates(crash); });
-        if (cleared.empty() || areEnough(filtered(matching, implicates))) {
-            return false;
-        }
-        startedAfter = std::max(startedAfter.value_or(TimePoint()), cleared.back()->at);
-        return true;
-    };
-    bool isBlockRefuted = false;
-    if (block.isForWholePrompt()) {
-        isBlockRefuted = isRefuted([](const StartCrash *crash) { return crash->implicatesPrompt(); },
-                                   [](const Crashes &crashes) { return areSufficientForPrompt(crashes, MinPromptCrashIntervalOfBlock); });
-    } else {
-        isBlockRefuted = std::all_of(block.parts.begin(), block.parts.end(), [&](const PromptPartId &part) {
-            return isRefuted([&part](const StartCrash *crash) { return crash->implicates(part); },
-                             [](const Crashes &crashes) { return areSufficient(crashes, MinCrashIntervalOfBlock); });
-        });
-    }
-    return isBlockRefuted ? startedAfter : std::nullopt;
-}
-
-/// The parts that all @p crashes have in common and that none of them has shown to be sound, in ascending order.
-PromptParts commonParts(const Crashes &crashes)
-{
-    PromptParts common;
-    for (const PromptPartId &part : crashes.front()->parts) {
-        if (std::all_of(crashes.begin(), crashes.end(), [&part](const StartCrash *crash) { return crash->implicates(part); })) {
-            common.push_back(part);
-        }
-    }
-    std::sort(common.begin(), common.end());
-    common.erase(std::unique(common.begin(), common.end()), common.end());
-    return common;
-}
-
 }
 
 bool StartCrash::implicates(const PromptPartId &part) const
@@ -315,7 +159,7 @@
     const detail::CrashExplanations explained = explanations();
     return std::any_of(prompt.parts.begin(), prompt.parts.end(), [this, &explained](const PromptPartId &part) {
         const Crashes crashes = evidenceAgainst(part, explained);
-        return incidentsOf(crashes, MinCrashInterval).size() + 1 >= BlockingCrashes && endpointCount(crashes) >= MinCrashedEndpoints;
+        return detail::incidentsOf(crashes, MinCrashInterval).size() + 1 >= BlockingCrashes && detail::endpointCount(crashes) >= MinCrashedEndpoints;
     });
 }
 
@@ -534,7 +378,7 @@
     releaseRefutedBlocks();
     evaluatePrompts(now);
     evaluateParts(now);
-    hasUnreportedRuns_ = std::any_of(crashes_.begin(), crashes_.end(), [now](const auto &entry) { return !isReported(entry.second.crash, now); });
+    hasUnreportedRuns_ = std::any_of(crashes_.begin(), crashes_.end(), [now](const auto &entry) { return !detail::isReported(entry.second.crash, now); });
 }
 
 void CrashAttribution::evaluatePrompts(TimePoint now)
@@ -546,8 +390,8 @@
         }
     }
     for (auto &[promptHash, crashes] : byPrompt) {
-        std::sort(crashes.begin(), crashes.end(), isEarlier);
-        if (areSufficientForPrompt(crashes, MinPromptCrashInterval) && !isBlocked(crashes.front()->prompt())) {
+        std::sort(crashes.begin(), crashes.end(), detail::isEarlier);
+        if (detail::areSufficientForPrompt(crashes, detail::MinPromptCrashInterval) && !isBlocked(crashes.front()->prompt())) {
             PromptParts parts = crashes.front()->parts;
             std::sort(parts.begin(), parts.end());
             addBlock({.parts = std::move(parts), .promptHash = promptHash, .revision = 1, .since = now, .until = now + initialBlockTime_});
@@ -560,11 +404,11 @@
     detail::CrashExplanations explained = explanations();
     for (const PromptPartId &part : suspectedParts(explained, now)) {
         // The blocks added so far may explain what seemed to be evidence against this part.
-        const Crashes evidence = reported(evidenceAgainst(part, explained), now);
-        if (!areSufficient(evidence, MinCrashInterval)) {
+        const Crashes evidence = detail::reported(evidenceAgainst(part, explained), now);
+        if (!detail::areSufficient(evidence, MinCrashInterval)) {
             continue;
         }
-        const PromptParts parts = commonParts(evidence);
+        const PromptParts parts = detail::commonParts(evidence);
         if (!isBlocked(parts)) {
             const PromptPartBlock block{.parts = parts, .revision = 1, .since = now, .until = now + initialBlockTime_};
             addBlock(block);
@@ -580,9 +424,9 @@
         if (count < BlockingCrashes) {
             continue;
         }
-        const Crashes evidence = reported(evidenceAgainst(part, explanations), now);
-        if (areSufficient(evidence, MinCrashInterval)) {
-            suspects.emplace_back(static_cast<double>(evidence.size()) / static_cast<double>(incidentsOf(evidence, MinCrashInterval).size()), part);
+        const Crashes evidence = detail::reported(evidenceAgainst(part, explanations), now);
+        if (detail::areSufficient(evidence, MinCrashInterval)) {
+            suspects.emplace_back(static_cast<double>(evidence.size()) / static_cast<double>(detail::incidentsOf(evidence, MinCrashInterval).size()), part);
         }
     }
     std::sort(suspects.begin(), suspects.end());
@@ -631,8 +475,8 @@
                 matching.push_back(&evidence.crash);
             }
         }
-        std::sort(matching.begin(), matching.end(), isEarlier);
-        if (const auto startedAfter = refutation(block, matching)) {
+        std::sort(matching.begin(), matching.end(), detail::isEarlier);
+        if (const auto startedAfter = detail::refutation(block, matching)) {
             release(block, *startedAfter);
         }
     }
@@ -646,7 +490,7 @@
             result.push_back(&evidence.crash);
         }
     }
-    std::sort(result.begin(), result.end(), isEarlier);
+    std::sort(result.begin(), result.end(), detail::isEarlier);
     return result;
 }
 
