--- a/tests/soak/crowdtest.py
+++ b/tests/soak/crowdtest.py
@@ -231,9 +231,7 @@
         member.cancel()
     for connection in test.members:
         connection.close()
-    for gateway in test.gateways:
-        if gateway.process.poll() is None:
-            gateway.process.kill()
+    test.kill_gateways()
     print("\n".join(violations))
     return 1 if violations else 0
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -459,6 +459,18 @@
         for server in [self.store, *self.endpoints, *self.proxies.values(), *self.store_proxies]:
             server.stop()
 
+    async def read_state(self, gateway):
+        reader, writer = await asyncio.open_connection(gateway.ip, gateway.metrics_port)
+        writer.write(b"GET /state HTTP/1.1\r\nHost: soak.example\r\nConnection: close\r\n\r\n")
+        message = await read_message(reader)
+        writer.close()
+        return json.loads(message[2])
+
+    def kill_gateways(self):
+        for gateway in self.gateways:
+            if gateway.process.poll() is None:
+                gateway.process.kill()
+
     async def check_known_peers(self):
         """After the faults every gateway must include the loads of all others again."""
         for gateway in self.gateways:
@@ -519,9 +531,7 @@
             try:
                 asyncio.run(soak_test.run())
             finally:
-                for gateway in soak_test.gateways:
-                    if gateway.process.poll() is None:
-                        gateway.process.kill()
+                soak_test.kill_gateways()
             print(f"  outcomes {soak_test.checker.outcomes}", flush=True)
             for line in soak_test.checker.violations[:20]:
                 print(f"  BROKEN {line}", flush=True)
--- a/tests/soak/storeeratest.py
+++ b/tests/soak/storeeratest.py
@@ -7,7 +7,6 @@
 
 import argparse
 import asyncio
-import json
 import pathlib
 import signal
 import sys
@@ -15,7 +14,7 @@
 import time
 
 from soak import SoakTest
-from standins import Endpoint, read_message
+from standins import Endpoint
 
 GATEWAYS = 3
 AWAY_SECONDS = 1.0
@@ -35,13 +34,6 @@
         self.random.randrange = lambda *_limits: 1
         self.publish()
 
-    async def read_state(self, gateway):
-        reader, writer = await asyncio.open_connection(gateway.ip, gateway.metrics_port)
-        writer.write(b"GET /state HTTP/1.1\r\nHost: soak.example\r\nConnection: close\r\n\r\n")
-        message = await read_message(reader)
-        writer.close()
-        return json.loads(message[2])
-
     def living(self):
         return [gateway for gateway in self.gateways if gateway.process.poll() is None]
 
@@ -103,9 +95,7 @@
             violations.append(f"CONFIG: {gateway.ip} went back to document {min(known)}")
     if fewest < len(test.endpoints):
         violations.append(f"LOST: a gateway knew only {fewest} of {len(test.endpoints)} endpoints, all of which live")
-    for gateway in test.gateways:
-        if gateway.process.poll() is None:
-            gateway.process.kill()
+    test.kill_gateways()
     print("\n".join(violations))
     return 1 if violations else 0
 
--- a/tests/soak/storeoutagetest.py
+++ b/tests/soak/storeoutagetest.py
@@ -15,7 +15,7 @@
 import time
 
 from soak import DRAIN_LIMIT, SoakTest
-from standins import Endpoint, read_message
+from standins import Endpoint
 
 GATEWAYS = 5
 ROUNDS = 2
@@ -30,13 +30,6 @@
     async def add_endpoint(self):
         await self.add_direct_endpoint(Endpoint)
 
-    async def read_state(self, gateway):
-        reader, writer = await asyncio.open_connection(gateway.ip, gateway.metrics_port)
-        writer.write(b"GET /state HTTP/1.1\r\nHost: soak.example\r\nConnection: close\r\n\r\n")
-        message = await read_message(reader)
-        writer.close()
-        return json.loads(message[2])
-
     async def send_for(self, seconds, gateways):
         """Sends requests that must not run twice to the gateways, and returns their outcomes."""
         rng = random.Random(4)
