CrashAttribution: Prolong a block from the crash of its trial

Cause, from the logs of eight plays of that part of the test at the same time, three of which failed in the same way: the endpoint of a trial crashed behind its listener, the crash was confirmed 1.6 s later, and the block was prolonged by its doubled time from the confirmation on. A lost run from before the block that was confirmed after the end of the block would have prolonged it, too. Load was not the cause.

Change: a block is prolonged from the time of the crash, and only by a crash after its end.

--- a/src/gateway/crashattribution.cpp
+++ b/src/gateway/crashattribution.cpp
@@ -87,8 +87,9 @@
     addCrash(crash);
     hasUnsentEvidence_ = true;
     for (PromptPartBlock &block : blocks_) {
-        if (block.isInForce() && block.matches(crash) && now >= block.until) {
-            prolong(block, now);
+        // The crash may have been confirmed much later than it happened.
+        if (block.isInForce() && block.matches(crash) && crash.at >= block.until) {
+            prolong(block, crash.at);
         }
     }
     evaluate(now);
@@ -317,7 +318,7 @@
     reportChange(block);
 }
 
-void CrashAttribution::prolong(PromptPartBlock &block, TimePoint now)
+void CrashAttribution::prolong(PromptPartBlock &block, TimePoint crashedAt)
 {
     Duration time = initialBlockTime_;
     for (int trial = 0; trial <= block.failedTrials && time < MaxBlockTime; ++trial) {
@@ -325,7 +326,7 @@
     }
     ++block.failedTrials;
     block.revision += 2;
-    block.until = now + std::min(time, MaxBlockTime);
+    block.until = crashedAt + std::min(time, MaxBlockTime);
     trials_.erase({block.parts, block.promptHash});
     reportChange(block);
 }
--- a/src/gateway/crashattribution.h
+++ b/src/gateway/crashattribution.h
@@ -197,7 +197,7 @@
     /// Notes that runs with @p prompt have started normally after the crashes before @p at. Returns whether that was unknown.
     bool markSound(const PromptIdentity &prompt, TimePoint at);
     void addBlock(PromptPartBlock block);
-    void prolong(PromptPartBlock &block, TimePoint now);
+    void prolong(PromptPartBlock &block, TimePoint crashedAt);
     /// @p at is a time before the normal start that shows that the requests are sound, and as late as is known.
     void release(PromptPartBlock &block, TimePoint at);
     void reportChange(const PromptPartBlock &block);
--- a/tests/gateway/crashattributiontest.cpp
+++ b/tests/gateway/crashattributiontest.cpp
@@ -212,6 +212,29 @@
     }
 }
 
+// Guards against a block that lasts longer than it should because the crash of the trial was confirmed only when the endpoint returned.
+TEST_F(CrashAttributionTest, CrashOfTrialIsConfirmedLate_BlockTime_CountsFromTheCrash)
+{
+    crashThreeTimes({Crashing});
+    now_ += InitialBlockTime;
+    ASSERT_EQ(decide({Crashing}, true), PromptPartDecision::Kind::Try);
+    const TimePoint crashedAt = now_ + 100ms;
+    now_ += 5s;
+    attribution_.recordCrash({.run = ++runs_, .endpoint = 9, .at = crashedAt, .parts = {Crashing}}, now_);
+    ASSERT_EQ(attribution_.blocks().size(), 1U);
+    EXPECT_EQ(attribution_.blocks().front().until, crashedAt + 2 * InitialBlockTime);
+}
+
+TEST_F(CrashAttributionTest, RunBeforeTheBlockIsConfirmedAfterIt_Block_IsNotProlonged)
+{
+    const TimePoint lostAt = now_;
+    crashThreeTimes({Crashing});
+    const TimePoint until = attribution_.blocks().front().until;
+    now_ = until + 1s;
+    attribution_.recordCrash({.run = ++runs_, .endpoint = 9, .at = lostAt, .parts = {Crashing}}, now_);
+    EXPECT_EQ(attribution_.blocks().front().until, until);
+}
+
 TEST_F(CrashAttributionTest, TrialStarts_Part_IsReleased)
 {
     crashThreeTimes({Crashing});
