OddEntryTest: Write odd entries and items into the lists of the store

Reported by the users (RECOVER): while one odd entry of another writer stood in the list of endpoints, a restart of all processes left almost no request served.

The test writes such entries into a stand-in of the store: 15 names, 12 values, 11 shapes of a list item, and the names and shapes in the other two topics. It kills both gateways, starts them again, and asks 24 requests.

Seen on: 11 names, 8 shapes and 12 names in the other topics leave none of 24 requests served; a name with a line break adds a field to the head of a request to an endpoint. All 12 values held.

--- /dev/null
+++ b/tests/soak/oddentrytest.py
@@ -0,0 +1,225 @@
+#!/usr/bin/env python3
+"""Checks that an entry of another writer in the store, or an item of a list that cannot be read, costs nothing but itself.
+
+Each case has a store, eight endpoints and two gateways of its own. Its odd entry is written, both gateways are killed and start again, and then the gateways
+must know the eight endpoints, serve every request, send none to the odd entry, and list the topics without repeating calls. Exit status: 0 if that holds.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import signal
+import string
+import sys
+import tempfile
+import urllib.parse
+
+from soak import SoakTest
+from standins import Endpoint, Server, Store
+
+ENDPOINTS = 8
+GATEWAYS = 2
+START_SECONDS = 2.0  # From the start of the gateways until every request must be served.
+REQUESTS = 24
+MAX_CALLS_PER_PAGE = 2  # A start may repeat the call for a page whose response was lost.
+READS_PER_SECOND = 12  # Of one gateway: a topic is read ten times in a second.
+MEBIBYTE = 1 << 20
+MAX_RESIDENT = 64 * MEBIBYTE
+TARGET_CHARACTERS = set(string.ascii_letters + string.digits + "-._~:/?#[]@!$&'()*+,;=%")
+
+ODD_NAMES = {
+    "blank": "i-2 x", "line-break": "i-2\r\nX-Odd: y", "fragment": "i-2#x", "leading-fragment": "#x", "another-after": "i-2&after=", "plus": "i-2+x",
+    "percent": "i-2%zz", "escaped": "i-2%41", "quote": 'i-2"x', "not-ascii": "i-2é", "another-topic": "i-2&topic=keyed.op", "zero": "i-2\0x",
+    "not-utf8": "i-2\udcff\udcfe", "longest": "i-2" + "é" * 125, "question": "i-2?part=1",
+}
+
+ODD_VALUES = {
+    "not-json": b"\xff\xfe{", "list": b"[]", "deep": b'{"service":' + b"[" * 400 + b"]" * 400 + b"}", "service-number": {"service": 7},
+    "address-list": {"address": ["127.0.0.1:1"]}, "address-lines": {"address": "127.0.0.1:1\r\nX-Odd: y"}, "no-service": {"service": None},
+    "unknown-state": {"state": "odd"}, "unknown-service": {"service": "odd\r\nX-Odd: y"}, "slots-text": {"slots": "8"}, "born-fraction": {"born": 1.5},
+    "zone-object": {"zone": {}},
+}
+
+
+def without(name):
+    return lambda item: {key: value for key, value in item.items() if key != name}
+
+
+def replaced(name, value):
+    return lambda item: {**item, name: value}
+
+
+ODD_ITEMS = {
+    "no-value": without("value"), "null-value": replaced("value", None), "number-value": replaced("value", 7), "not-base64": replaced("value", "{*}"),
+    "offset-text": replaced("offset", "x"), "no-offset": without("offset"), "offset-negative": replaced("offset", -1),
+    "null-key": replaced("key", None), "no-key": without("key"), "no-object": lambda _item: 7, "null": lambda _item: None,
+}
+
+
+class StrictStore(Store):
+    """Rejects requests that it cannot read, and counts the calls for lists and reads of each topic."""
+
+    def __init__(self, page_size):
+        super().__init__()
+        self.PAGE_SIZE = page_size
+        self.odd_items = {}  # By key: changes the item of a list.
+        self.calls = {}
+
+    def list_item(self, key, offset, value):
+        item = super().list_item(key, offset, value)
+        return self.odd_items[key](item) if key in self.odd_items else item
+
+    async def handle(self, start, headers, body):
+        parts = start.split(" ")
+        if len(parts) != 3 or not set(parts[1]) <= TARGET_CHARACTERS:
+            self.calls["unreadable"] = self.calls.get("unreadable", 0) + 1
+            return self.answer(400)
+        url = urllib.parse.urlsplit(parts[1])
+        call = url.path.rsplit("/", 1)[-1], dict(urllib.parse.parse_qsl(url.query, errors="replace")).get("topic")
+        self.calls[call] = self.calls.get(call, 0) + 1
+        return await super().handle(start, headers, body)
+
+
+class Trap(Server):
+    """Stands at the address of the odd entry."""
+
+    def __init__(self):
+        super().__init__()
+        self.arrivals = []
+
+    async def serve(self, reader, writer):
+        self.arrivals.append(await reader.read(4096))
+
+
+class OddEntryTest(SoakTest):
+    def __init__(self, binary, index, folder, page_size):
+        super().__init__(binary, index, 0, folder, GATEWAYS)
+        self.first_gateway = index * GATEWAYS
+        self.store = StrictStore(page_size)
+        self.trap = Trap()
+
+    async def add_endpoint(self):
+        while len(self.endpoints) < ENDPOINTS:
+            await self.add_direct_endpoint(Endpoint)
+
+    def valid_entry(self):
+        return {"service": "desk", "address": self.trap.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+                "sequence": 1, "born": 1}
+
+    def put_odd_name(self, name):
+        self.store.put("keyed.servers", name, json.dumps(self.valid_entry()).encode())
+
+    def put_odd_value(self, value):
+        if not isinstance(value, bytes):
+            entry = {**self.valid_entry(), **value}
+            value = json.dumps({name: field for name, field in entry.items() if field is not None}).encode()
+        self.store.put("keyed.servers", "i-2-odd", value)
+
+    def put_odd_item(self, change, topic="keyed.servers"):
+        """The odd item ends a page of two, of which the other can be read."""
+        key = {"keyed.servers": "i-2-odd", "keyed.op": "config-odd", "keyed.status": "vm-odd"}[topic]
+        self.store.odd_items[key] = change
+        self.store.put(topic, key, b"{}")
+
+    def put_in_other_topics(self, name):
+        for topic, value in (("keyed.op", b'{"version":1000000}'), ("keyed.status", b'{"ip":"127.0.0.999\\r\\n","zone":7}')):
+            self.store.put(topic, f"a{name}", value)
+
+    async def restart_all(self):
+        for gateway in self.gateways:
+            gateway.send(signal.SIGKILL)
+            gateway.process.wait()
+        self.store.calls = {}
+        for gateway in self.gateways:
+            gateway.start()
+
+    def peak_resident_bytes(self, gateway):
+        for line in pathlib.Path(f"/proc/{gateway.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
+    def check_calls(self, seconds):
+        if self.store.calls.get("unreadable"):
+            self.checker.report_violation("CALLS", f"{self.store.calls['unreadable']} that the store cannot read")
+        for topic, records in self.store.topics.items():
+            pages = len({key for key, _value in records}) // self.store.PAGE_SIZE + 1
+            for call, limit in (("log-newest", MAX_CALLS_PER_PAGE * pages), ("log-read", READS_PER_SECOND * seconds)):
+                count = self.store.calls.get((call, topic), 0)
+                if count > limit * GATEWAYS:
+                    self.checker.report_violation("CALLS", f"{count} of {call} for {topic}, which has {pages} pages")
+
+    async def play(self, put):
+        await self.trap.start()
+        await self.set_up()
+        put(self)
+        await asyncio.sleep(0.5)
+        while_running = [await self.send_once("safe", number) for number in range(REQUESTS)]
+        await self.restart_all()
+        await asyncio.sleep(START_SECONDS)
+        outcomes = [await self.send_once("safe", REQUESTS + number) for number in range(REQUESTS)]
+        self.check_calls(START_SECONDS + 2)
+        for phase, results in (("while the gateways run", while_running), ("after their restart", outcomes)):
+            if results.count("served") < REQUESTS:
+                self.checker.report_violation("RECOVER", f"{phase} {results.count('served')} of {REQUESTS} were served: {sorted(set(results))}")
+        expected = {endpoint.instance_id for endpoint in self.endpoints}
+        for gateway in self.gateways:
+            known = {entry["id"] for entry in (await self.read_state(gateway))["endpoints"] if entry["service"] == "desk"}
+            if known != expected:
+                self.checker.report_violation("KNOWN", f"{gateway.ip}: missing {sorted(expected - known)}, more {sorted(known - expected)}")
+            if self.peak_resident_bytes(gateway) > MAX_RESIDENT:
+                self.checker.report_violation("MEMORY", f"{gateway.ip}: {self.peak_resident_bytes(gateway) // MEBIBYTE} MiB")
+        if self.trap.arrivals:
+            self.checker.report_violation("USED", f"the odd entry got {self.trap.arrivals[:1]}")
+        await self.stop_gateways()
+        return self.checker.violations
+
+
+GROUPS = {
+    "name": {name: (1, lambda test, text=text: test.put_odd_name(text)) for name, text in ODD_NAMES.items()},
+    "value": {name: (1, lambda test, value=value: test.put_odd_value(value)) for name, value in ODD_VALUES.items()},
+    "item": {name: (2, lambda test, change=change: test.put_odd_item(change)) for name, change in ODD_ITEMS.items()},
+    "topic": {
+        **{f"names-{name}": (1, lambda test, text=text: test.put_in_other_topics(text)) for name, text in ODD_NAMES.items()},
+        **{f"{topic}-{name}": (2, lambda test, change=change, topic=topic: test.put_odd_item(change, topic))
+           for topic in ("keyed.op", "keyed.status") for name, change in ODD_ITEMS.items()},
+    },
+}
+
+
+async def run(options, folder):
+    cases = GROUPS[options.group]
+    names = [options.case] if options.case else list(cases)
+    tests = []
+    for index, name in enumerate(names):
+        case_folder = folder / name
+        case_folder.mkdir(parents=True, exist_ok=True)
+        tests.append(OddEntryTest(options.binary, index, case_folder, cases[name][0]))
+    results = []
+    try:
+        for first in range(0, len(names), options.parallel):
+            batch = list(zip(names, tests))[first:first + options.parallel]
+            results += await asyncio.gather(*[test.play(cases[name][1]) for name, test in batch])
+    finally:
+        for test in tests:
+            test.kill_gateways()
+    for name, violations in zip(names, results):
+        print(f"{options.group} {name}: {'held' if not violations else '; '.join(violations)}")
+    return 1 if any(results) else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("binary", help="the program lentillock-gateway")
+    parser.add_argument("group", choices=list(GROUPS))
+    parser.add_argument("case", nargs="?", help="one case of the group; default: all")
+    parser.add_argument("--parallel", type=int, default=16, help="cases that are played at the same time")
+    parser.add_argument("--keep", help="folder for the logs of the gateways")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        return asyncio.run(run(options, pathlib.Path(options.keep or temporary)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -146,6 +146,7 @@
     def __init__(self, binary, seed, seconds, folder, gateway_count=DEFAULT_GATEWAYS):
         self.random = random.Random(seed)
         self.gateway_count = gateway_count
+        self.first_gateway = 0  # Tests that run side by side number their gateways differently, because their addresses follow from it.
         self.seconds = seconds
         self.checker = InvariantChecker()
         self.store = Store()
@@ -226,7 +227,7 @@
             proxy = Proxy(self.store.port)
             await proxy.start()
             self.store_proxies.append(proxy)
-            gateway = Gateway(self.binary, index, ports, proxy.address, self.folder, self.gateway_settings)
+            gateway = Gateway(self.binary, self.first_gateway + index, ports, proxy.address, self.folder, self.gateway_settings)
             gateway.start()
             self.gateways.append(gateway)
         self.checker.gateways = self.gateways
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -9,6 +9,7 @@
 import urllib.parse
 
 READ_LIMIT = 1 << 20
+KEY_ERRORS = "surrogateescape"  # Keys are bytes, which need not be UTF-8.
 
 
 async def read_message(reader):
@@ -133,22 +134,25 @@
         self.topics = {topic: list(records) for topic, records in copy.items()}
         self.era += 1
 
+    def list_item(self, key, offset, value):
+        return {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+
     async def handle(self, start, _headers, body):
         url = urllib.parse.urlsplit(start.split(" ")[1])
-        query = dict(urllib.parse.parse_qsl(url.query))
+        query = dict(urllib.parse.parse_qsl(url.query, errors=KEY_ERRORS))
         topic = query.get("topic", "")
         records = self.topics.setdefault(topic, [])
         if url.path.endswith("log-newest"):
             newest = {}
             for offset, (key, value) in enumerate(records):
                 newest[key] = (offset, value)
-            items = [
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-                for key, (offset, value) in sorted(newest.items()) if value is not None
+            remaining = [
+                (key, offset, value) for key, (offset, value) in sorted(newest.items())
+                if value is not None and ("after" not in query or key > query["after"])
             ]
-            remaining = [item for item in items if item["key"] > query.get("after", "")]
-            page = remaining[:self.PAGE_SIZE]
-            return self.answer(200, json.dumps({"items": page, "has_more": len(page) < len(remaining), "end": len(records)}).encode())
+            page = [self.list_item(*record) for record in remaining[:self.PAGE_SIZE]]
+            text = json.dumps({"items": page, "has_more": len(page) < len(remaining), "end": len(records)}, ensure_ascii=False)
+            return self.answer(200, text.encode(errors=KEY_ERRORS))
         if url.path.endswith("log-read"):
             first = int(query["from"])
             if first > len(records):
@@ -162,13 +166,14 @@
                         break
             text = struct.pack(">QQ", len(records), 0)
             for key, value in records[first:]:
-                content = bytes([len(key)]) + key.encode() + (value or b"")
+                key_bytes = key.encode(errors=KEY_ERRORS)
+                content = bytes([len(key_bytes)]) + key_bytes + (value or b"")
                 text += struct.pack(">I", len(content)) + content
             return self.answer(200, text)
         if url.path.endswith("log-append"):
             length = struct.unpack(">I", body[:4])[0]
             content = body[4:4 + length]
-            key = content[1:1 + content[0]].decode()
+            key = content[1:1 + content[0]].decode(errors=KEY_ERRORS)
             offset = self.put(topic, key, content[1 + content[0]:] or None)
             return self.answer(200, json.dumps({"offset": offset, "end": offset + 1}).encode())
         return self.answer(404)
