--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -122,6 +122,31 @@
     EXPECT_TRUE(decodeEndpoint("i-1", head + R"("10.0.0.9:65535"})", findings).has_value()) << findings.toText();
 }
 
+// Guards against names of other writers that are used as endpoints, where they add fields to requests and make /state unreadable.
+TEST(RecordsTest, EndpointOfAnotherWriter_HasNameThatNeedsEscaping_IsIgnoredWithFinding)
+{
+    for (const std::string &name : {std::string(),
+                                    std::string("i-2 x"),
+                                    std::string("i-2\r\nX-Odd: y"),
+                                    std::string("i-2#x"),
+                                    std::string("i-2&after="),
+                                    std::string("i-2+x"),
+                                    std::string("i-2%41"),
+                                    std::string("i-2\"x"),
+                                    std::string("i-2?x"),
+                                    std::string("i-2\0x", 5),
+                                    std::string("i-2\xc3\xa9"),
+                                    std::string("i-2\xff\xfe")}) {
+        Findings findings;
+        EXPECT_FALSE(decodeEndpoint(name, Endpoint, findings).has_value()) << name;
+        EXPECT_TRUE(findings.hasErrors());
+    }
+    for (const char *name : {"i-7f3a91c2", "gpu_7.zone~a:1@b/2"}) {
+        Findings findings;
+        EXPECT_TRUE(decodeEndpoint(name, Endpoint, findings).has_value()) << findings.toText();
+    }
+}
+
 RC_GTEST_PROP(RecordsTest, Endpoint_IsAnyBytes_DoesNotThrow, (const std::string &bytes))
 {
     Findings findings;
