EndpointConnectionPool: Reject addresses with a zero byte

Not seen by callers; found by reading what is written into messages.

Cause: the conversion of an IPv4 address ends at a zero byte, so an entry with the address "10.0.0.9\u0000\r\nX-Odd: y:80" was taken for an endpoint.

The text must be what the address is formatted to, so nothing else can stand in it.

--- a/src/gateway/endpointconnectionpool.cpp
+++ b/src/gateway/endpointconnectionpool.cpp
@@ -31,8 +31,11 @@
     const char *const end = address.data() + address.size();
     const auto result = std::from_chars(address.data() + colon + 1, end, port);
     boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address_v4(address.substr(0, colon), error);
-    const bool isValid = result.ec == std::errc() && result.ptr == end && port > 0 && !error;
+    const std::string ipText = address.substr(0, colon);
+    const auto ip = boost::asio::ip::make_address_v4(ipText, error);
+    // The address is also written into messages. The conversion ends at a zero byte and ignores what follows it.
+    const bool isWhole = !error && ip.to_string() == ipText;
+    const bool isValid = result.ec == std::errc() && result.ptr == end && port > 0 && isWhole;
     return isValid ? std::optional(boost::asio::ip::tcp::endpoint(ip, port)) : std::nullopt;
 }
 
--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -147,6 +147,14 @@
     }
 }
 
+// Guards against addresses that hold more than an address, since they are written into requests.
+TEST(RecordsTest, EndpointOfAnotherWriter_HasZeroByteInAddress_IsIgnoredWithFinding)
+{
+    Findings findings;
+    const std::string text = R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.9\u0000\r\nX-Odd: y:80"})";
+    EXPECT_FALSE(decodeEndpoint("i-1", text, findings).has_value());
+}
+
 RC_GTEST_PROP(RecordsTest, Endpoint_IsAnyBytes_DoesNotThrow, (const std::string &bytes))
 {
     Findings findings;
