--- a/tests/soak/oddentrytest.py
+++ b/tests/soak/oddentrytest.py
@@ -260,6 +260,7 @@
     "listing": {
         "first-page-repeated": (5, OddEntryTest.list_repeats_first_page),
         "without-end": (5, OddEntryTest.list_without_end),
+        "all-rejected": (5, OddEntryTest.reject_lists),
     },
     "topic": {
         **{f"names-{name}": (1, lambda test, text=text: test.put_in_other_topics(text)) for name, text in ODD_NAMES.items()},
