--- a/tests/adapter/recordstest.cpp
+++ b/tests/adapter/recordstest.cpp
@@ -183,6 +183,16 @@
     EXPECT_FALSE(decodeLogPage(body.substr(0, 10), 0).has_value());
 }
 
+// Guards against records that are lost because of what follows them.
+TEST(StorePageTest, LogPage_HasBytesThatAreNoRecord_KeepsRecordsBeforeThem)
+{
+    const std::string body = std::string(16, '\0') + encodeKeyedRecord("k", "v");
+    const auto page = decodeLogPage(body + "\xff\xff\xff\xff odd", 40);
+    ASSERT_TRUE(page.has_value());
+    EXPECT_EQ(page->end, 41U);
+    EXPECT_EQ(page->records.size(), 1U);
+}
+
 TEST(StorePageTest, NewestPage_IsEncodedAndDecoded_IsTheSame)
 {
     NewestPage page{.end = 9};
--- a/tests/soak/oddentrytest.py
+++ b/tests/soak/oddentrytest.py
@@ -260,6 +260,7 @@
     "listing": {
         "first-page-repeated": (5, OddEntryTest.list_repeats_first_page),
         "without-end": (5, OddEntryTest.list_without_end),
+        "bad-frame": (5, OddEntryTest.read_with_bad_frame),
         "all-rejected": (5, OddEntryTest.reject_lists),
     },
     "topic": {
