Log: Bound lines and replace bytes that are not UTF-8

Callers saw: a VM that answered nobody any more. One caller whose request IDs are 5 to 12 KB long, within the 16 KiB for a head, was enough while the log was read slowly or not at all.

Cause: values from outside (request IDs, bodies of the store, findings) went into log lines whole. A pipe that polls as writable takes PIPE_BUF bytes without blocking; a longer line blocked the process. Bytes that are not UTF-8 made the line unreadable.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include "base/utf8.h"
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
@@ -24,6 +26,9 @@
 namespace
 {
 
+/// Ends a value that was cut off.
+constexpr const char *CutMark = "...";
+
 std::string programName;
 
 boost::log::sources::severity_logger_mt<Level> &logger()
@@ -71,7 +76,7 @@
     }
 
 private:
-    /// A pipe that polls as writable accepts PIPE_BUF bytes without blocking; lines are shorter than that.
+    /// A pipe that polls as writable accepts PIPE_BUF bytes without blocking; MaxLineBytes is less than that.
     static bool isWritable()
     {
         pollfd descriptor{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
@@ -120,13 +125,30 @@
     return droppedLinesTotal;
 }
 
-void write(Level level, std::string_view event, std::initializer_list<Field> fields)
+namespace detail
 {
-    boost::json::object line{{"timeMs", wallClockMilliseconds()}, {"level", levelName(level)}, {"program", programName}, {"event", event}};
-    for (const auto &[name, value] : fields) {
-        line[name] = value;
+
+std::string formatLine(Level level, std::string_view event, std::initializer_list<Field> fields)
+{
+    std::string text;
+    for (std::size_t maxValueBytes = MaxLineBytes; maxValueBytes > 0; maxValueBytes /= 2) {
+        boost::json::object line{{"timeMs", wallClockMilliseconds()}, {"level", levelName(level)}, {"program", programName}, {"event", event}};
+        for (const auto &[name, value] : fields) {
+            line[name] = value.size() > maxValueBytes ? toValidUtf8(std::string_view(value).substr(0, maxValueBytes)) + CutMark : toValidUtf8(value);
+        }
+        text = boost::json::serialize(line);
+        if (text.size() <= MaxLineBytes) {
+            break;
+        }
     }
-    BOOST_LOG_SEV(logger(), level) << boost::json::serialize(line);
+    return text;
+}
+
+}
+
+void write(Level level, std::string_view event, std::initializer_list<Field> fields)
+{
+    BOOST_LOG_SEV(logger(), level) << detail::formatLine(level, event, fields);
 }
 
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -28,7 +29,19 @@
 /// Number of lines dropped since the process started.
 std::uint64_t droppedLines();
 
-/// Writes one line. @p event is the name of the event; its values go into @p fields.
+/// Writes one line. @p event is the name of the event; its values go into @p fields. They may come from outside: bytes that are not UTF-8 are replaced, and
+/// long values are cut off so that the line takes at most MaxLineBytes.
 void write(Level level, std::string_view event, std::initializer_list<Field> fields = {});
 
+/// A longer line may block the process when it is written to a pipe.
+inline constexpr std::size_t MaxLineBytes = 4000;
+
+namespace detail
+{
+
+/// Formats a line without its end.
+std::string formatLine(Level level, std::string_view event, std::initializer_list<Field> fields);
+
+}
+
 }
