HttpHead: Write control characters of a field as blanks

Not seen by callers; found by reading what is written into messages: addresses, names of workspaces and IDs come from the store, and a line break in one would add fields to a request or response.

All heads are written with appendField, so the check stands there once.

--- a/src/gateway/httphead.cpp
+++ b/src/gateway/httphead.cpp
@@ -15,6 +15,15 @@
 constexpr std::array<std::string_view, 9> HopByHopFields{
     "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"};
 
+/// Whether @p character is not allowed in the value of a field.
+bool isControlCharacter(char character)
+{
+    constexpr unsigned char FirstPrintable = ' ';
+    constexpr unsigned char Delete = 0x7f;
+    const auto code = static_cast<unsigned char>(character);
+    return (code < FirstPrintable && character != '\t') || code == Delete;
+}
+
 /// Whether the comma-separated @p list contains @p name.
 bool listContains(std::string_view list, std::string_view name)
 {
@@ -71,7 +80,11 @@
 
 void appendField(std::string &text, std::string_view name, std::string_view value)
 {
-    text.append(name).append(": ").append(value).append("\r\n");
+    text.append(name).append(": ");
+    const std::size_t begin = text.size();
+    text.append(value);
+    std::replace_if(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), isControlCharacter, ' ');
+    text.append("\r\n");
 }
 
 std::string_view pathOf(std::string_view target)
--- a/src/gateway/httphead.h
+++ b/src/gateway/httphead.h
@@ -32,6 +32,7 @@
 /// Appends the fields of @p head to @p text, except hop-by-hop fields, Content-Length and the fields in @p excluded.
 void appendEndToEndFields(std::string &text, const HttpHead &head, const std::vector<std::string_view> &excluded);
 
+/// Appends a field. Control characters of @p value, which would end the field, become blanks.
 void appendField(std::string &text, std::string_view name, std::string_view value);
 
 /// Returns the part of @p target before the query.
