EventSplitter: Search only new bytes for the end of an event

Callers saw: requests at endpoints that send an event without an end ended up to 9.6 s after their timeout or not at all; other work of the VM waited meanwhile.

Cause: each piece of an event led to a search from its beginning, which is quadratic in the size of the event (8 MiB at most).

A property test compares streams with mixed line ends, whole and in pieces.

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -1,6 +1,8 @@
 #include "gateway/eventsplitter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace Lentillock
 {
@@ -46,11 +48,15 @@
     return true;
 }
 
-/// Returns the length of the first event of @p text including the terminating blank line, or 0 if the event is incomplete.
-std::size_t eventLength(std::string_view text)
+/// The longest end of an event.
+constexpr std::string_view CarriageEnd = "\r\n\r\n";
+
+/// Returns the length of the first event of @p text including the terminating blank line, or 0 if the event is incomplete. The event does not end before
+/// @p searched.
+std::size_t eventLength(std::string_view text, std::size_t searched)
 {
-    const std::size_t plain = text.find("\n\n");
-    const std::size_t carriage = text.find("\r\n\r\n");
+    const std::size_t plain = text.find("\n\n", searched);
+    const std::size_t carriage = text.substr(0, plain == std::string_view::npos ? plain : plain + 1).find(CarriageEnd, searched);
     if (plain == std::string_view::npos && carriage == std::string_view::npos) {
         return 0;
     }
@@ -61,10 +67,12 @@
 
 std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
 {
+    // An event may be long and arrive in many pieces, so only what may hold its end is searched. The end may begin in the piece before.
+    std::size_t searched = pending_.size() - std::min(pending_.size(), CarriageEnd.size() - 1);
     pending_.append(bytes);
     std::vector<StreamEvent> events;
     std::size_t used = 0;
-    while (const std::size_t length = eventLength(std::string_view(pending_).substr(used))) {
+    while (const std::size_t length = eventLength(std::string_view(pending_).substr(used), std::exchange(searched, 0))) {
         std::string event = pending_.substr(used, length);
         used += length;
         const std::optional<std::uint64_t> id = eventId(event);
--- a/tests/gateway/eventsplittertest.cpp
+++ b/tests/gateway/eventsplittertest.cpp
@@ -56,6 +56,27 @@
     RC_ASSERT(!splitter.hasPartialEvent());
 }
 
+// Guards against ends of events that lie across pieces, since what was searched is not searched again.
+RC_GTEST_PROP(EventSplitterTest, StreamWithMixedLineEnds_IsSplitAnywhere_HasSameEvents, ())
+{
+    const auto text = *rc::gen::container<std::string>(rc::gen::element('a', '\n', '\r'));
+    std::vector<std::string> whole;
+    for (const StreamEvent &event : EventSplitter().feed(text)) {
+        whole.push_back(event.bytes);
+    }
+    EventSplitter splitter;
+    std::vector<std::string> inPieces;
+    std::size_t start = 0;
+    while (start < text.size()) {
+        const auto length = *rc::gen::inRange<std::size_t>(1, text.size() - start + 1);
+        for (const StreamEvent &event : splitter.feed(text.substr(start, length))) {
+            inPieces.push_back(event.bytes);
+        }
+        start += length;
+    }
+    RC_ASSERT(inPieces == whole);
+}
+
 TEST(EventSplitterTest, Event_HasOnlyCommentLines_IsComment)
 {
     const auto events = EventSplitter().feed(": ping\n\n:\r\n\r\n: note\ndata: x\n\n\n\n");
