Gateway: Let timers run while I/O is always ready

Callers saw: requests ended seconds after the timeout of their route while endpoints sent bytes without end.

Cause: the event loop looked at its timers only when no handler was ready. While bytes arrive faster than they are handled, that is never.

The handlers stop when a timer is due; at least one runs in each turn, so due timers do not keep I/O waiting either.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,7 +72,7 @@
     while (!stopped_) {
         const TimePoint due = context_.timers.nextDue().value_or(TimePoint::max());
         io_.run_one_until(std::min(due, monotonicNow() + MaxEventWait));
-        io_.poll();
+        runReadyHandlers();
         const TimePoint now = monotonicNow();
         context_.timers.advance(now);
         peers_.sendDue(now);
@@ -87,6 +87,17 @@
                {{"callerConnections", std::to_string(open)}, {"staleEndpointRecords", std::to_string(context_.directory.staleRecordCount())}});
 }
 
+void Gateway::runReadyHandlers()
+{
+    // Not until none is ready, because an endpoint that sends without end would keep the timers waiting.
+    while (io_.poll_one() > 0) {
+        const auto due = context_.timers.nextDue();
+        if (due && *due <= monotonicNow()) {
+            return;
+        }
+    }
+}
+
 void Gateway::applyPlan(const ServingPlanPointer &plan)
 {
     if (context_.plan && plan->version() <= context_.plan->version()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,8 @@
     std::function<void()> onReload;
 
 private:
+    /// Runs handlers of completed I/O until none is ready or a timer is due.
+    void runReadyHandlers();
     void listen();
     void accept();
     /// Closes the connection that has been waiting longest if there are too many. Returns whether another one may be opened.
