CallerMemory: Bound the responses that are being received

Cause: each response is bounded (8 MiB) and nothing bounded their sum. The memory for callers did not count what is received of endpoints.

A response being received is a holding of its own that can be evicted.

--- a/src/gateway/callermemory.h
+++ b/src/gateway/callermemory.h
@@ -14,7 +14,10 @@
 /// it are not tracked.
 inline constexpr std::size_t OrdinaryRequestBytes = 64UL * 1024;
 
-/// Bounds the memory that the requests and the unread responses of all callers of this VM take. Does no I/O.
+/// Bounds the memory that the requests and the unread responses of all callers of this VM take, and the responses that are being received for them. Does no
+/// I/O.
+///
+/// A response that is being received can be evicted, so that endpoints that send without end cost the requests that they run and no others.
 ///
 /// A connection whose request runs at an endpoint keeps its memory until the request ends. Any other one, whose caller has not sent its whole request or does
 /// not read its response, can be evicted. Beyond the limit, those that hold most are evicted first, so that callers with ordinary requests are not affected by
--- a/src/gateway/endpointattempt.cpp
+++ b/src/gateway/endpointattempt.cpp
@@ -3,8 +3,9 @@
 namespace Lentillock
 {
 
-EndpointAttempt::EndpointAttempt(FleetLoad &fleetLoad, int number, Placement placement, TimePoint startedAt)
+EndpointAttempt::EndpointAttempt(FleetLoad &fleetLoad, CallerMemory &memory, int number, Placement placement, TimePoint startedAt)
     : fleetLoad(fleetLoad)
+    , memory(memory)
     , number(number)
     , endpoint(*placement.endpoint)
     , placement(std::move(placement))
@@ -17,6 +18,7 @@
     if (connection) {
         connection->close();
     }
+    memory.remove(this);
     fleetLoad.end(loadTicket);
     for (const FleetLoad::Ticket helper : helperLoadTickets) {
         fleetLoad.end(helper);
@@ -40,6 +42,11 @@
     }
 }
 
+std::size_t EndpointAttempt::heldBytes() const
+{
+    return body.capacity() + events.heldBytes();
+}
+
 std::optional<CrashedRunStage> EndpointAttempt::stageBeforeFirstEvent() const
 {
     const bool isSuccess = head.status >= 200 && head.status < 300;
--- a/src/gateway/endpointattempt.h
+++ b/src/gateway/endpointattempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/callermemory.h"
 #include "gateway/crashattribution.h"
 #include "gateway/endpointdirectory.h"
 #include "gateway/eventsplitter.h"
@@ -18,9 +19,9 @@
 {
 
 /// One attempt to have an endpoint serve a request. When it is destroyed, it closes its connection, which makes the endpoint stop, and removes its load
-/// and reservations.
+/// reservations and memory.
 struct EndpointAttempt {
-    EndpointAttempt(FleetLoad &fleetLoad, int number, Placement placement, TimePoint startedAt);
+    EndpointAttempt(FleetLoad &fleetLoad, CallerMemory &memory, int number, Placement placement, TimePoint startedAt);
     ~EndpointAttempt();
     EndpointAttempt(const EndpointAttempt &) = delete;
     EndpointAttempt &operator=(const EndpointAttempt &) = delete;
@@ -31,10 +32,14 @@
     /// Removes the prefill from the load, since the endpoint has begun to generate.
     void finishPrefill();
 
+    /// Memory that the response takes, as far as it has not been passed on, in bytes.
+    [[nodiscard]] std::size_t heldBytes() const;
+
     /// How far the run had come, if a part of its prompt may have crashed the endpoint: it has lost its connection before its first event.
     [[nodiscard]] std::optional<CrashedRunStage> stageBeforeFirstEvent() const;
 
     FleetLoad &fleetLoad;
+    CallerMemory &memory;
     const int number; ///< Counts the attempts of the request from 1.
     const EndpointRecord endpoint;
     const Placement placement;
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -88,4 +88,9 @@
     return !pending_.empty();
 }
 
+std::size_t EventSplitter::heldBytes() const
+{
+    return pending_.capacity();
+}
+
 }
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartialEvent() const;
 
+    /// Memory that the incomplete event takes, in bytes.
+    [[nodiscard]] std::size_t heldBytes() const;
+
 private:
     std::string pending_;
 };
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -24,7 +24,7 @@
     std::uint16_t peerPort = 0; ///< UDP port for load reports between VMs; the same on all VMs.
     std::uint16_t metricsPort = 0; ///< TCP port for metrics and the state dump.
     std::string storeAddress;
-    std::size_t callerMemoryBytes = 64ULL * 1024 * 1024; ///< For requests and unread responses of all callers.
+    std::size_t callerMemoryBytes = 64ULL * 1024 * 1024; ///< For requests and unread responses of all callers, and responses being received.
     std::size_t callerConnections = 2000; ///< Connections of callers that are open at the same time.
     milliseconds drainGrace{8000}; ///< Time from the stop signal until the process is killed.
     FleetRetryBudgetSettings retryBudget;
--- a/src/gateway/requestexchange.cpp
+++ b/src/gateway/requestexchange.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "gateway/endpointstatements.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -285,7 +286,7 @@
                 .decodeMs = service_->engine->decodeMs(caller_.expectedOutputTokens.value_or(caller_.maxOutputTokens)),
                 .role = placement.isLong ? WorkRole::LongPrompt : WorkRole::ShortPrompt};
     }
-    attempt_ = std::make_unique<EndpointAttempt>(context_.fleetLoad, retryState_.attempts, std::move(placement), now);
+    attempt_ = std::make_unique<EndpointAttempt>(context_.fleetLoad, context_.callerMemory, retryState_.attempts, std::move(placement), now);
     attempt_->addLoad(item, now);
     triedEndpoints_.insert(attempt_->endpoint.id);
     if (attempt_->placement.helperTokens == 0) {
@@ -473,6 +474,33 @@
     } else {
         attempt.body += bytes;
     }
+    updateMemory(attempt);
+}
+
+void RequestExchange::updateMemory(EndpointAttempt &attempt)
+{
+    context_.callerMemory.update(&attempt, attempt.heldBytes(), [weakSelf = weak_from_this(), number = attempt.number] {
+        if (const auto self = weakSelf.lock()) {
+            self->onResponseEvicted(number);
+        }
+    });
+    if (context_.callerMemory.mustEnforce()) {
+        // This attempt, which is on the stack, may be one of those that end.
+        boost::asio::post(context_.io, [&memory = context_.callerMemory] { memory.enforce(); });
+    }
+}
+
+void RequestExchange::onResponseEvicted(int number)
+{
+    EndpointAttempt *attempt = findAttempt(number);
+    if (finished_ || attempt == nullptr) {
+        return;
+    }
+    context_.metrics.increment("lentillock_responses_evicted_total");
+    Log::write(Log::Level::Warning,
+               "response-evicted",
+               {{"request", caller_.id.value()}, {"endpoint", attempt->endpoint.id.value()}, {"heldBytes", std::to_string(attempt->heldBytes())}});
+    failAttempt(*attempt, AttemptOutcome::Incomplete, true);
 }
 
 void RequestExchange::relayEvents(EndpointAttempt &attempt, std::string_view bytes)
--- a/src/gateway/requestexchange.h
+++ b/src/gateway/requestexchange.h
@@ -70,6 +70,10 @@
     HttpClientConnection::Handlers responseHandlers(int number);
     ResponseDisposition onHead(EndpointAttempt &attempt, const HttpHead &head);
     void onBody(EndpointAttempt &attempt, std::string_view bytes);
+    /// Accounts for the memory that the response of @p attempt takes.
+    void updateMemory(EndpointAttempt &attempt);
+    /// Breaks off the response of the attempt @p number, because the responses and requests of this VM take too much memory.
+    void onResponseEvicted(int number);
     void onFinished(EndpointAttempt &attempt);
     void onFailed(EndpointAttempt &attempt, ExchangeFailure failure);
     void relayEvents(EndpointAttempt &attempt, std::string_view bytes);
