--- a/tests/soak/oddentrytest.py
+++ b/tests/soak/oddentrytest.py
@@ -30,6 +30,7 @@
 MAX_LISTED = 32 * MEBIBYTE  # Of keys and values that a gateway reads of a list, as the manual says.
 ENDLESS_ITEMS = 500
 ENDLESS_VALUE = "A" * 1400
+ENDLESS_PIECE = b"x" * 65536
 BOUNDS_BYTES = 16  # A read begins with the end and the first offset of the partition.
 TARGET_CHARACTERS = set(string.ascii_letters + string.digits + "-._~:/?#[]@!$&'()*+,;=%")
 
@@ -74,11 +75,23 @@
         self.has_endless_list = False  # After the records, pages of new keys follow without end.
         self.bad_offset = None  # At this offset of keyed.servers, a read gives bytes that are no record.
         self.rejects_lists = False
+        self.sends_without_end = False
 
     def list_item(self, key, offset, value):
         item = super().list_item(key, offset, value)
         return self.odd_items[key](item) if key in self.odd_items else item
 
+    async def serve(self, reader, writer):
+        if not self.sends_without_end:
+            await super().serve(reader, writer)
+            return
+        await read_message(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n\r\n")
+        while True:
+            writer.write(ENDLESS_PIECE)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     async def handle(self, start, headers, body):
         parts = start.split(" ")
         if len(parts) != 3 or not set(parts[1]) <= TARGET_CHARACTERS:
@@ -182,6 +195,13 @@
         self.store.rejects_lists = True
         self.lists_endpoints = False
 
+    def send_without_end(self):
+        self.store.sends_without_end = True
+        self.lists_endpoints = False
+        self.max_resident = MAX_RESIDENT_OF_ENDLESS_LIST
+        for writer in list(self.store.writers):
+            writer.transport.abort()
+
     async def restart_all(self):
         for gateway in self.gateways:
             gateway.send(signal.SIGKILL)
@@ -219,6 +239,9 @@
             known = {entry["id"] for entry in (await self.read_state(gateway))["endpoints"] if entry["service"] == "desk"}
             if not known or not known <= expected or (self.lists_whole and known != expected):
                 self.checker.report_violation("KNOWN", f"{gateway.ip}: missing {sorted(expected - known)}, more {sorted(known - expected)}")
+
+    def check_memory(self):
+        for gateway in self.gateways:
             if self.peak_resident_bytes(gateway) > self.max_resident:
                 self.checker.report_violation("MEMORY", f"{gateway.ip}: {self.peak_resident_bytes(gateway) // MEBIBYTE} MiB")
 
@@ -247,6 +270,7 @@
         else:
             await self.check_copies()
         self.check_calls(START_SECONDS + 2)
+        self.check_memory()
         if self.trap.arrivals:
             self.checker.report_violation("USED", f"the odd entry got {self.trap.arrivals[:1]}")
         await self.stop_gateways()
@@ -261,6 +285,7 @@
         "first-page-repeated": (5, OddEntryTest.list_repeats_first_page),
         "without-end": (5, OddEntryTest.list_without_end),
         "bad-frame": (5, OddEntryTest.read_with_bad_frame),
+        "response-without-end": (5, OddEntryTest.send_without_end),
         "all-rejected": (5, OddEntryTest.reject_lists),
     },
     "topic": {
