--- a/src/gateway/httphead.cpp
+++ b/src/gateway/httphead.cpp
@@ -15,13 +15,14 @@
 constexpr std::array<std::string_view, 9> HopByHopFields{
     "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"};
 
+constexpr unsigned char FirstPrintableCharacter = ' ';
+constexpr unsigned char DeleteCharacter = 0x7f;
+
 /// Whether @p character is not allowed in the value of a field.
 bool isControlCharacter(char character)
 {
-    constexpr unsigned char FirstPrintable = ' ';
-    constexpr unsigned char Delete = 0x7f;
     const auto code = static_cast<unsigned char>(character);
-    return (code < FirstPrintable && character != '\t') || code == Delete;
+    return (code < FirstPrintableCharacter && character != '\t') || code == DeleteCharacter;
 }
 
 /// Whether the comma-separated @p list contains @p name.
