--- a/tests/soak/oddentrytest.py
+++ b/tests/soak/oddentrytest.py
@@ -76,6 +76,7 @@
         self.bad_offset = None  # At this offset of keyed.servers, a read gives bytes that are no record.
         self.rejects_lists = False
         self.sends_without_end = False
+        self.has_no_history = False  # Each read of keyed.op finds that its records have been dropped.
 
     def list_item(self, key, offset, value):
         item = super().list_item(key, offset, value)
@@ -108,6 +109,8 @@
                 start = start.split("&after=")[0] + " HTTP/1.1"
             if self.has_endless_list:
                 return self.endless_page(query.get("after"))
+        if call == ("log-read", "keyed.op") and self.has_no_history:
+            return self.answer(410, b'{"first":0}')
         if call == ("log-read", "keyed.servers") and self.bad_offset is not None and int(query["from"]) <= self.bad_offset:
             result = await super().handle(start.replace("wait_ms", "w"), headers, body)
             return self.with_bad_frame(result, int(query["from"]))
@@ -195,6 +198,10 @@
         self.store.rejects_lists = True
         self.lists_endpoints = False
 
+    def drop_history(self):
+        self.store.has_no_history = True
+        self.lists_whole = False
+
     def send_without_end(self):
         self.store.sends_without_end = True
         self.lists_endpoints = False
@@ -286,6 +293,7 @@
         "without-end": (5, OddEntryTest.list_without_end),
         "bad-frame": (5, OddEntryTest.read_with_bad_frame),
         "response-without-end": (5, OddEntryTest.send_without_end),
+        "history-dropped": (5, OddEntryTest.drop_history),
         "all-rejected": (5, OddEntryTest.reject_lists),
     },
     "topic": {
