--- a/tests/soak/promptparttest.py
+++ b/tests/soak/promptparttest.py
@@ -92,7 +92,7 @@
         self.incarnation += 1000
         if self.incarnation // 1000 % 2 == 0:
             asyncio.ensure_future(self.test.remove_later(self.instance_id))
-            self.instance_id += "+"
+            self.instance_id += ".1"
         self.test.register(self)
 
 
