--- a/review/stage2.py
+++ b/review/stage2.py
@@ -287,10 +287,11 @@
     """Crashes when it begins to write an answer to a request whose prompt has the part stage.deadly_part, and is back after BACK_S."""
 
     BACK_S = 2.0
+    IS_DEADLY = TROUBLE
 
     async def run(self, start, fields, body, identifier, writer):
         parts = [part.partition(":")[0] for part in fields.get("x-prompt-prefix", "").split(",")]
-        if not TROUBLE or self.stage.deadly_part not in parts[:-1]:
+        if not self.IS_DEADLY or self.stage.deadly_part not in parts[:-1]:
             return await super().run(start, fields, body, identifier, writer)
         await asyncio.sleep(self.WORK_S)
         writer.write(self.first_bytes(fields, identifier))
