--- a/review/stage2.py
+++ b/review/stage2.py
@@ -491,6 +491,8 @@
     """Runs @p play with a stage. Its result is a list of what broke the rule."""
 
     async def run(temporary):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         stage = Stage(case_folder, temporary, gateway_count)
         try:
             await stage.store.start()
@@ -506,7 +508,7 @@
     try:
         with tempfile.TemporaryDirectory() as temporary:
             status = asyncio.run(run(temporary))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         status = NOT_RUN
     sys.exit(status)
